--- /dev/null
+++ b/director/director.go
@@ -0,0 +1,189 @@
+// Package director holds what a router and its decision module say to each other: the interface of
+// the module and the plain types that pass through it. Nothing here decides anything, and nothing here
+// belongs to one protocol: an adapter fills these types from its wire and writes its wire from them.
+package director
+
+// Micros is a point in time or a span, in whole microseconds.
+type Micros int64
+
+// Second is the span that rates are counted over.
+const Second Micros = 1_000_000
+
+// Director decides for one router. An adapter asks Where for each download that arrives, After for each
+// pull that ends, and Wait whenever it was told to pull or hold; when that time is over it asks Where
+// again. The other methods bring news and give nothing back. Calls must not overlap.
+type Director interface {
+	// Where says where to send this download, or not yet, or never.
+	Where(now Micros, dl *Download) Answer
+	// After says what to do now that a pull of this download has ended.
+	After(now Micros, dl *Download, out Outcome) Answer
+	// Wait says how long to wait before asking Where again; 0 means no further question is needed.
+	Wait(now Micros, dl *Download) Micros
+
+	// Listed brings the list of nodes: all of it, or the changed entries alone.
+	Listed(now Micros, nodes []Node, complete bool)
+	// Purged says that copies of an object, or with no object of a whole group, were void at a time.
+	Purged(now Micros, object string, group int, at Micros)
+}
+
+// Repeat says what a second run of a download does.
+type Repeat int
+
+const (
+	Retriable    Repeat = iota // may run any number of times
+	Deduped                    // carries a mark by which a group of nodes drops repeats for a while
+	NonRetriable               // must never run twice
+)
+
+// Scope is the group of nodes that drops the repeats of a deduped download.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// ContentType is what the settings say of one kind of download.
+type ContentType struct {
+	TargetTime   Micros  // answers within this time earn the full benefit
+	Stretch      float64 // the target time grows by this multiple of the download's sending time
+	Expiry       Micros  // what a client waits in all, over its own retries
+	Repeat       Repeat
+	Scope        Scope  // for deduped downloads
+	Window       Micros // how long a deduped download's mark is remembered
+	Benefit      float64
+	LateBenefit  float64 // share of the benefit for an answer after the target time
+	Fresh        Micros  // a copy's fresh time; 0 for no limit
+	Grace        Micros  // how much older than fresh a copy may be when asked for
+	StaleBenefit float64 // share of the benefit from a copy past its fresh time
+	PassThrough  bool    // never kept: it runs at the origin
+}
+
+// Warming is what a freshly started node bears.
+type Warming struct {
+	From     float64 // share of its capacity that it starts with, at least
+	Time     Micros  // it is warm no later than this, on a straight line
+	Multiple float64 // asked for more than this multiple of what it can do ...
+	Window   Micros  // ... for this long, it falls over
+}
+
+// Settings are given once, when an instance starts.
+type Settings struct {
+	Seed        uint64
+	Zone        int
+	Types       []*ContentType
+	ParentKind  int // the machine kind of parents; -1 where there are none
+	OriginKind  int
+	Direct      bool // downloads may go straight to a parent or the origin
+	JoinFills   bool
+	SourcesTold bool // answers tell how a fill went and why it failed
+	CanCancel   bool
+	TwoAtOnce   bool // two pulls of a download may be out together
+	MostPulls   int
+	PaceKB      float64 // top pace of one answer, KB a second
+	Edge        Warming
+	Parent      Warming
+	PurgeKept   Micros // within this time of a purge no older copy is left anywhere
+	MaxComeBack Micros // longest advice on when to come back that clients heed; 0 where none is passed on
+}
+
+// State is what the list says of a node.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Node is an entry of the list. The id is the same at every router.
+type Node struct {
+	ID      string
+	Zone    int
+	Kind    int
+	Cell    int
+	State   State
+	Weight  float64
+	Started Micros // latest start on the router's clock; 0 for long ago
+}
+
+// Download is what a client asked for. The adapter keeps it in hand until its final answer is out and
+// every pull of it has ended.
+type Download struct {
+	Type    *ContentType
+	Object  string
+	Group   int
+	SizeKB  float64 // 0 where not told
+	Arrived Micros
+	Leaves  Micros // the client is gone from here on
+	Over    bool   // the final answer is out, or the client has left
+	Notes   any    // the module's own
+}
+
+// Verb is what an answer asks for.
+type Verb int
+
+const (
+	Nothing  Verb = iota // nothing to do
+	Hold                 // not yet: ask Where again after Wait
+	Pull                 // send a pull as the answer says
+	Cancel               // stop waiting for pull number Pull; its outcome will follow
+	Throttle             // final: a new try is harmless
+	Abandon              // final: no promise
+)
+
+// Answer is what the module wants done for one download.
+type Answer struct {
+	Verb     Verb
+	Node     *Node
+	Source   *Node  // where a miss is filled from; the node itself for no fill
+	Keep     int    // rank of the copy, 0 to keep none
+	Oldest   Micros // no copy older than this; 0 for the content type's fresh time
+	Join     bool   // join a fill under way
+	Renew    bool   // serve an ageing copy and renew it behind
+	TimeOut  Micros // for this pull
+	Pull     int    // the pull to cancel
+	ComeBack Micros // with Throttle: when the client should try again
+}
+
+// Ending is how a pull ended.
+type Ending int
+
+const (
+	Fulfilled Ending = iota
+	Failed           // an error answer; may have run
+	TurnedAway
+	TimedOut
+	Unreached
+	Broken
+	Cancelled
+	NeverSent
+	Missing
+)
+
+// Filling is what an answer tells of the copy or the fill.
+type Filling int
+
+const (
+	Untold Filling = iota
+	Hit
+	Filled
+	FilledByOrigin
+	Joined
+	Stale
+	SourceRefused
+	SourceLost // not reached, broken off or out of time
+	SourceLacks
+	NoPlace
+	OriginFailed
+)
+
+// Outcome is the end of one pull.
+type Outcome struct {
+	Pull    int
+	Ending  Ending
+	Filling Filling
+	Waited  Micros // to the source's first byte or to the fill's failure, where told
+	Last    bool   // the download is finished
+}
