--- a/director/director.go
+++ b/director/director.go
@@ -72,6 +72,8 @@
 type Settings struct {
 	Seed        uint64
 	Zone        int
+	Instances   int     // routers in this zone
+	LinkKB      float64 // what the zone's link for fills carries, KB a second; 0 where not told
 	Types       []*ContentType
 	ParentKind  int // the machine kind of parents; -1 where there are none
 	OriginKind  int
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -44,6 +44,8 @@
 		OriginKind     *int      `json:"origin-kind"`
 		ShieldKind     *int      `json:"shield-kind"`
 		Pace           float64   `json:"pace-kb-per-s"`
+		Links          []float64 `json:"pipe-kb-per-s"`
+		CountByZone    []int     `json:"count-by-zone"`
 		ColdFrom       float64   `json:"parent-cold-from"`
 		FallMultiple   float64   `json:"parent-fall-multiple"`
 		WarmsIn        float64   `json:"parent-warms-in"`
@@ -85,6 +87,7 @@
 	}
 	s.Direct, s.JoinFills, s.SourcesTold = sp.Straight, sp.SharesFills, sp.NoteLevel == "all"
 	s.CanCancel, s.TwoAtOnce = p.Limits.Cancel, p.Limits.SecondCopies
+	s.Instances, s.LinkKB = at(sp.CountByZone, p.Zone), at(sp.Links, p.Zone)
 	s.MostPulls, s.PaceKB = p.Limits.TryLimit, sp.Pace
 	s.Edge = director.Warming{From: c.ColdFrom, Time: span(c.Cold), Multiple: c.Multiple, Window: span(c.Window)}
 	s.Parent = director.Warming{
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,6 +28,10 @@
 	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
 	memory        = 100           // pulls over which running means look back, about
+	easePart      = 0.6           // hits should take this part of their target time at the most
+	firstLimit    = 8             // pulls out at an edge before anything is known of it
+	cutTo         = 0.85          // what a limit is cut to when hits are slow
+	slowMemory    = 16            // hits over which an edge's slowness looks back, about
 )
 
 // typeRow is what the module keeps for one content type.
@@ -36,6 +40,11 @@
 	seen float64
 }
 
+func (r *typeRow) learn(work float64) {
+	r.seen = min(r.seen+1, memory)
+	r.work += (work - r.work) / r.seen
+}
+
 // node is one entry of the list, kept until the list says it is gone.
 type node struct {
 	d.Node
@@ -47,6 +56,10 @@
 	trial     bool     // back from a skip: one pull at a time until one ends well
 	trying    bool     // that pull is out
 	heard     d.Micros // when the last answer came
+	out       int      // pulls out
+	limit     float64  // how many may be out
+	cutAt     d.Micros // when the limit was last cut
+	slow      float64  // what hits take of their target times, lately
 	level     float64  // cold work sent and not yet drained from the budget
 	drained   d.Micros
 }
@@ -61,6 +74,38 @@
 	trial        *node
 }
 
+// tier is one rank of nodes, with what a warm one of them is known to do for this director.
+type tier struct {
+	ready []*node // by id
+	warm  d.Warming
+	link  float64  // what the tier does for this director at the least, by the settings: µs of sending a second
+	sum   float64  // work done by warm nodes, fading over a warm-up
+	since d.Micros // the first of it
+	at    d.Micros
+	each  float64 // work of one warm node, µs of sending a second, as last known
+}
+
+// did counts work that a node of the tier fulfilled.
+func (t *tier) did(now d.Micros, n *node, work float64) {
+	if warmth(now, n, t.warm) < 1 {
+		return
+	}
+	if t.since == 0 {
+		t.since, t.at = now, now
+	}
+	span := float64(t.warm.Time)
+	t.sum = t.sum*math.Exp(-float64(now-t.at)/span) + work
+	t.at = now
+	warm := 0
+	for _, n := range t.ready {
+		if warmth(now, n, t.warm) >= 1 {
+			warm++
+		}
+	}
+	seen := span * (1 - math.Exp(-float64(now-t.since)/span))
+	t.each = t.sum / max(seen, float64(d.Second)) * float64(d.Second) / float64(max(warm, 1))
+}
+
 // notes are what the module keeps of a download; they go with it.
 type notes struct {
 	hash   uint64
@@ -74,15 +119,12 @@
 	s       d.Settings
 	types   map[*d.ContentType]*typeRow // a row a type, never more
 	nodes   map[string]*node            // emptied by the list
-	edges   []*node                     // the location's ready caches, by id
-	parents []*node                     // all ready parents, by id
+	edges   tier                        // the location's ready caches
+	parents tier                        // all ready parents
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
-	started d.Micros              // the first download
-	offered float64               // work offered by clients, decayed
-	offerAt d.Micros
-	missing float64 // share of pulls that were not hits
-	trouble float64 // share of pulls turned away or late
+	missing float64               // share of pulls that were not hits
+	trouble float64               // share of pulls turned away or late
 }
 
 type purgeKey struct {
@@ -96,6 +138,11 @@
 		s: s, types: map[*d.ContentType]*typeRow{}, nodes: map[string]*node{},
 		purges: map[purgeKey]d.Micros{}, missing: 0.5,
 	}
+	l.edges.warm, l.parents.warm = s.Edge, s.Parent
+	if s.PaceKB > 0 {
+		l.edges.link = s.LinkKB / s.PaceKB * float64(d.Second) / float64(max(1, s.Instances))
+		l.parents.link = l.edges.link
+	}
 	for _, t := range s.Types {
 		l.types[t] = &typeRow{work: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
@@ -122,15 +169,17 @@
 			continue
 		}
 		if n == nil {
-			n = &node{hash: hashOf(row.ID), heard: now}
+			n = newNode(hashOf(row.ID), now)
 			l.nodes[row.ID] = n
 		}
 		if n.Started != row.Started { // a fresh process: what was known of the old one is void
-			*n = node{hash: n.hash, heard: now}
+			out := n.out
+			*n = *newNode(n.hash, now)
+			n.out = out
 		}
 		n.Node, n.draining = row, row.State == d.Draining
 	}
-	l.edges, l.parents, l.origin = l.edges[:0], l.parents[:0], nil
+	l.edges.ready, l.parents.ready, l.origin = l.edges.ready[:0], l.parents.ready[:0], nil
 	for _, n := range l.nodes {
 		switch {
 		case n.draining:
@@ -139,14 +188,18 @@
 				l.origin = n
 			}
 		case n.Kind == l.s.ParentKind:
-			l.parents = append(l.parents, n)
+			l.parents.ready = append(l.parents.ready, n)
 		case n.Zone == l.s.Zone:
-			l.edges = append(l.edges, n)
+			l.edges.ready = append(l.edges.ready, n)
 		}
 	}
 	byID := func(a, b *node) int { return strings.Compare(a.ID, b.ID) }
-	slices.SortFunc(l.edges, byID)
-	slices.SortFunc(l.parents, byID)
+	slices.SortFunc(l.edges.ready, byID)
+	slices.SortFunc(l.parents.ready, byID)
+}
+
+func newNode(hash uint64, now d.Micros) *node {
+	return &node{hash: hash, heard: now, limit: firstLimit}
 }
 
 // Purged takes a purge. It binds from now on, for later pulls of downloads in hand too.
@@ -172,7 +225,9 @@
 	if nt == nil {
 		nt = &notes{hash: hashOf(dl.Object)}
 		dl.Notes = nt
-		l.offer(now, dl)
+		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
+			row.learn(l.work(dl))
+		}
 	}
 	if p := nt.last(); p != nil && !p.over {
 		return l.look(now, dl, nt, p)
@@ -193,9 +248,12 @@
 		}
 		return max(1, p.sent+l.checkAfter(dl)-now)
 	}
-	return max(1, min(l.s.Edge.Window/10, dl.Leaves-now))
+	return max(1, min(l.poll(dl), dl.Leaves-now))
 }
 
+// poll is how often a held download is looked at.
+func (l *Logic) poll(dl *d.Download) d.Micros { return dl.Type.TargetTime / 20 }
+
 // After says what to do after a pull's end.
 func (l *Logic) After(now d.Micros, dl *d.Download, out d.Outcome) d.Answer {
 	nt, _ := dl.Notes.(*notes)
@@ -225,11 +283,11 @@
 		return l.giveUp(dl, nt)
 	}
 	work := l.work(dl)
-	edge := l.pick(now, l.edges, nt, work, l.s.Edge, func(n *node) bool {
-		return !nt.tried(n) && l.inGroup(dl, nt, n)
+	edge := l.pick(now, &l.edges, nt, l.types[dl.Type].work, func(n *node) bool {
+		return !nt.tried(n) && l.inGroup(dl, nt, n) && float64(n.out) < n.limit
 	})
 	if edge == nil {
-		if len(nt.pulls) == 0 && now-dl.Arrived < l.target(dl)/2 && now+l.s.Edge.Window/10 < dl.Leaves {
+		if now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
@@ -242,11 +300,11 @@
 	if dl.Type.PassThrough {
 		p.source, ans.Keep, ans.Join, ans.Renew, ans.Oldest = l.origin, 0, false, false, 0
 	} else {
-		fill := work
-		if l.warmth(now, edge, l.s.Edge) >= 1 {
+		fill := l.types[dl.Type].work
+		if warmth(now, edge, l.s.Edge) >= 1 {
 			fill *= l.missing
 		}
-		p.source = l.pick(now, l.parents, nt, fill, l.s.Parent, func(n *node) bool { return !nt.failed(n) })
+		p.source = l.pick(now, &l.parents, nt, fill, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil {
 			p.source = l.origin
 		}
@@ -259,6 +317,7 @@
 			n.trying, p.trial = true, n
 		}
 	}
+	edge.out++
 	nt.pulls = append(nt.pulls, p)
 	nt.judged = false
 	ans.Node, ans.Source = &edge.Node, &p.source.Node
@@ -272,31 +331,27 @@
 // A warming node takes the share of its objects that it can do, chosen by a hash that all directors
 // share, so they agree without a message. Guards against a cold node pushed over, and spreads the misses
 // of an empty one. Could harm where one object is most of a node's load.
-func (l *Logic) pick(now d.Micros, from []*node, nt *notes, work float64, warming d.Warming,
-	allowed func(*node) bool,
-) *node {
+func (l *Logic) pick(now d.Micros, t *tier, nt *notes, work float64, allowed func(*node) bool) *node {
 	var best *node
 	var bestHash uint64
-	for _, n := range from {
+	for _, n := range t.ready {
 		h := mix(nt.hash ^ n.hash)
 		if best != nil && h < bestHash || !allowed(n) || n.skipUntil > now || n.trial && n.trying {
 			continue
 		}
-		if w := l.warmth(now, n, warming); w < 1 {
-			if float64(mix(h)>>11)/(1<<53) > w || !l.fits(now, n, work, w*l.rate(now)/float64(len(from)), warming) {
-				continue
-			}
+		if w := warmth(now, n, t.warm); w < 1 && (float64(mix(h)>>11)/(1<<53) > w || !t.fits(now, n, work)) {
+			continue
 		}
 		best, bestHash = n, h
 	}
-	if best != nil && l.warmth(now, best, warming) < 1 {
+	if best != nil && warmth(now, best, t.warm) < 1 {
 		best.level += work
 	}
 	return best
 }
 
 // warmth is the share of its capacity that a node can do at the least.
-func (l *Logic) warmth(now d.Micros, n *node, w d.Warming) float64 {
+func warmth(now d.Micros, n *node, w d.Warming) float64 {
 	age := now - n.Started
 	if n.Started == 0 || age >= w.Time {
 		return 1
@@ -305,12 +360,14 @@
 }
 
 // fits keeps a warming node's budget: what this director may send it within any window. Its part is
-// measured by the work that its own clients offer a warm node.
-func (l *Logic) fits(now d.Micros, n *node, work, rate float64, w d.Warming) bool {
-	allowance := rate * w.Multiple * budgetPart
+// measured by what warm nodes of the tier did for it, which is never more than they can do; before any
+// did, by the location's link in, which is less than its caches or the parents behind it give.
+func (t *tier) fits(now d.Micros, n *node, work float64) bool {
+	each := max(t.each, t.link/float64(len(t.ready)))
+	allowance := each * warmth(now, n, t.warm) * t.warm.Multiple * budgetPart
 	n.level = max(0, n.level-allowance*float64(now-n.drained)/float64(d.Second))
 	n.drained = now
-	return n.level == 0 || n.level+work < allowance*float64(w.Window)/float64(d.Second)/2
+	return n.level == 0 || n.level+work < allowance*float64(t.warm.Window)/float64(d.Second)/2
 }
 
 // look sees to a pull that is still out: when its node has answered nobody since it was sent, the node
@@ -335,6 +392,7 @@
 
 // learn takes a pull's end into what is known of its nodes.
 func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
+	p.edge.out--
 	if p.trial != nil {
 		p.trial.trying = false
 	}
@@ -352,17 +410,26 @@
 	switch out.Ending {
 	case d.Fulfilled:
 		e.bad, e.trial, e.skipFor = 0, false, 0
+		l.edges.did(now, e, p.work)
+		if out.Filling == d.Hit {
+			e.slow += (float64(took)/float64(l.target(dl)) - e.slow) / slowMemory
+			if e.slow > easePart {
+				e.cut(now, p)
+			} else if float64(e.out+1) > e.limit*cutTo {
+				e.limit += 1 / e.limit
+			}
+		}
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
 			s.bad, s.trial, s.skipFor = 0, false, 0
+			l.parents.did(now, s, p.work)
 			if l.s.SourcesTold && out.Filling == d.Filled && out.Waited > dl.Type.TargetTime {
 				l.skip(now, s, skipParent, skipParent)
 			}
 		}
 		row := l.types[dl.Type]
 		if dl.SizeKB == 0 && out.Filling == d.Hit {
-			row.seen = min(row.seen+1, memory)
-			row.work += (float64(took) - row.work) / row.seen
+			row.learn(float64(took))
 		}
 	case d.Unreached, d.Broken:
 		l.skip(now, e, d.Second, skipParent)
@@ -372,6 +439,7 @@
 			l.skip(now, s, skipParent, skipParent)
 		case l.s.SourcesTold && out.Filling == d.OriginFailed:
 		default:
+			e.cut(now, p)
 			if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
 				l.skip(now, e, d.Second, skipParent)
 			}
@@ -384,6 +452,13 @@
 	}
 }
 
+// cut lowers an edge's limit, once for all pulls that were out together.
+func (n *node) cut(now d.Micros, p *pull) {
+	if p.sent >= n.cutAt {
+		n.limit, n.cutAt = max(1, n.limit*cutTo), now
+	}
+}
+
 // skip leaves a node alone for a while, twice as long each time, then lets one pull try it.
 func (l *Logic) skip(now d.Micros, n *node, least, most d.Micros) {
 	if n == l.origin || n.skipUntil > now {
@@ -437,30 +512,6 @@
 	return age
 }
 
-// offer counts the work that clients ask for.
-func (l *Logic) offer(now d.Micros, dl *d.Download) {
-	if l.started == 0 {
-		l.started, l.offerAt = now, now
-	}
-	l.offered = l.offered*l.fade(now) + l.work(dl)
-	l.offerAt = now
-	row := l.types[dl.Type]
-	if dl.SizeKB > 0 && l.s.PaceKB > 0 {
-		row.seen = min(row.seen+1, memory)
-		row.work += (l.work(dl) - row.work) / row.seen
-	}
-}
-
-func (l *Logic) fade(now d.Micros) float64 {
-	return math.Exp(-float64(now-l.offerAt) / float64(l.s.Edge.Time))
-}
-
-// rate is the work that clients offer, in µs of sending time a second.
-func (l *Logic) rate(now d.Micros) float64 {
-	span := float64(l.s.Edge.Time) * (1 - math.Exp(-float64(now-l.started)/float64(l.s.Edge.Time)))
-	return l.offered * l.fade(now) / max(span, float64(d.Second)) * float64(d.Second)
-}
-
 // work is a download's sending time at full pace.
 func (l *Logic) work(dl *d.Download) float64 {
 	if dl.SizeKB > 0 && l.s.PaceKB > 0 {
