--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,6 +56,7 @@
 	trial     bool     // back from a skip: one pull at a time until one ends well
 	trying    bool     // that pull is out
 	heard     d.Micros // when the last answer came
+	unheard   int      // pulls found unanswered since then
 	out       int      // pulls out
 	limit     float64  // how many may be out
 	cutAt     d.Micros // when the limit was last cut
@@ -111,7 +112,7 @@
 	hash   uint64
 	pulls  []*pull
 	ran    *pull // the first pull that may have run
-	judged bool  // the silence check is done
+	looked d.Micros
 }
 
 // Logic is one instance.
@@ -243,10 +244,10 @@
 		return 0
 	}
 	if p := nt.last(); p != nil && !p.over {
-		if nt.judged || p.cancelled || !l.s.CanCancel {
+		if p.cancelled || !l.s.CanCancel || dl.Type.Repeat == d.NonRetriable {
 			return 0
 		}
-		return max(1, p.sent+l.checkAfter(dl)-now)
+		return max(1, nt.looked+l.checkAfter(dl)-now)
 	}
 	return max(1, min(l.poll(dl), dl.Leaves-now))
 }
@@ -319,7 +320,7 @@
 	}
 	edge.out++
 	nt.pulls = append(nt.pulls, p)
-	nt.judged = false
+	nt.looked = now
 	ans.Node, ans.Source = &edge.Node, &p.source.Node
 	return ans
 }
@@ -370,15 +371,19 @@
 	return n.level == 0 || n.level+work < allowance*float64(t.warm.Window)/float64(d.Second)/2
 }
 
-// look sees to a pull that is still out: when its node has answered nobody since it was sent, the node
-// is taken for silent and the download goes elsewhere. Guards against machines that vanish without a
-// reset; helps with any that hang. Could harm where a node's few answers are all long ones.
+// look sees to a pull that is still out: when its node has answered nobody since it was sent, and other
+// pulls of the node found the same, the node is taken for silent and the download goes elsewhere.
+// Guards against machines that vanish without a reset; helps with any that hang. Could harm where a
+// node's few answers are all long ones.
 func (l *Logic) look(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
-	if nt.judged || p.cancelled || now < p.sent+l.checkAfter(dl) {
+	if p.cancelled || now < nt.looked+l.checkAfter(dl) {
 		return d.Answer{}
 	}
-	nt.judged = true
-	if p.edge.heard > p.sent || !l.s.CanCancel || dl.Type.Repeat == d.NonRetriable {
+	nt.looked = now
+	if p.edge.heard > p.sent {
+		return d.Answer{}
+	}
+	if p.edge.unheard++; p.edge.unheard < strikes {
 		return d.Answer{}
 	}
 	l.skip(now, p.edge, d.Second, skipParent)
@@ -405,7 +410,7 @@
 	e, s := p.edge, p.source
 	switch out.Ending {
 	case d.Fulfilled, d.Missing, d.TurnedAway, d.Failed:
-		e.heard = now
+		e.heard, e.unheard = now, 0
 	}
 	switch out.Ending {
 	case d.Fulfilled:
@@ -421,10 +426,11 @@
 		}
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
-			s.bad, s.trial, s.skipFor = 0, false, 0
 			l.parents.did(now, s, p.work)
 			if l.s.SourcesTold && out.Filling == d.Filled && out.Waited > dl.Type.TargetTime {
-				l.skip(now, s, skipParent, skipParent)
+				s.strike(l, now)
+			} else {
+				s.bad, s.trial, s.skipFor = 0, false, 0
 			}
 		}
 		row := l.types[dl.Type]
@@ -436,17 +442,14 @@
 	case d.TurnedAway, d.Failed, d.TimedOut:
 		switch {
 		case l.s.SourcesTold && (out.Filling == d.SourceRefused || out.Filling == d.SourceLost):
-			l.skip(now, s, skipParent, skipParent)
+			s.strike(l, now)
 		case l.s.SourcesTold && out.Filling == d.OriginFailed:
 		default:
-			e.cut(now, p)
 			if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
 				l.skip(now, e, d.Second, skipParent)
 			}
 			if s != e && !l.s.SourcesTold {
-				if s.bad++; s.bad >= strikes {
-					l.skip(now, s, skipParent, skipParent)
-				}
+				s.strike(l, now)
 			}
 		}
 	}
@@ -459,6 +462,13 @@
 	}
 }
 
+// strike counts a fill that a source failed or was slow with; some in a row and it is skipped.
+func (n *node) strike(l *Logic, now d.Micros) {
+	if n.bad++; n.bad >= strikes {
+		l.skip(now, n, skipParent, skipParent)
+	}
+}
+
 // skip leaves a node alone for a while, twice as long each time, then lets one pull try it.
 func (l *Logic) skip(now d.Micros, n *node, least, most d.Micros) {
 	if n == l.origin || n.skipUntil > now {
