Hash each part of an object by itself

Cause: every part is kept and filled on its own, yet all parts of a clip met at one cache and one parent; a popular clip passed their links.

--- a/director/director.go
+++ b/director/director.go
@@ -115,6 +115,7 @@
 type Download struct {
 	Type    *ContentType
 	Object  string
+	Part    int // of the object; every part is kept and filled on its own
 	Group   int
 	SizeKB  float64 // 0 where not told
 	Arrived Micros
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -228,7 +228,7 @@
 	dl := &held{xid: xid}
 	dl.Group = -1
 	err = firstError(err, msg.integer("lane", &lane), msg.micros("patience-left", &patience),
-		msg.number("size-kb", &dl.SizeKB), msg.integer("batch-id", &dl.Group))
+		msg.number("size-kb", &dl.SizeKB), msg.integer("batch-id", &dl.Group), msg.integer("piece", &dl.Part))
 	if err != nil {
 		return err
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -224,7 +224,7 @@
 	}
 	nt, _ := dl.Notes.(*notes)
 	if nt == nil {
-		nt = &notes{hash: hashOf(dl.Object)}
+		nt = &notes{hash: mix(hashOf(dl.Object) + uint64(dl.Part))} // each part is kept and filled on its own
 		dl.Notes = nt
 		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
 			row.learn(l.work(dl))
