Ask the home first and gate misses while fills are jammed

Cause: a location that lost a cache misses more, its link in jams, fills end late or are dropped unkept, so misses stay many: hits were fast (a fifth of their target times) while every slot was held by a miss.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,6 +31,7 @@
 	easePart      = 0.6           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
+	jamPart       = 0.9           // fills that take more of their target times on average are jammed
 	slowMemory    = 16            // hits over which an edge's slowness looks back, about
 )
 
@@ -70,6 +71,7 @@
 	edge, source *node
 	sent         d.Micros
 	work         float64
+	fill         bool // counted at the gate for fills
 	over         bool
 	cancelled    bool
 	trial        *node
@@ -111,8 +113,10 @@
 type notes struct {
 	hash   uint64
 	pulls  []*pull
-	ran    *pull // the first pull that may have run
-	looked d.Micros
+	ran    *pull    // the first pull that may have run
+	looked d.Micros // when the last pull was looked at, or sent
+	asked  bool     // the home was asked for what it holds
+	missed bool     // and holds nothing
 }
 
 // Logic is one instance.
@@ -125,6 +129,8 @@
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
 	missing float64               // share of pulls that were not hits
+	gate    node                  // for fills, while they are jammed: how many may be out
+	gated   d.Micros              // when the gate last held one back; 0 while it is open
 	trouble float64               // share of pulls turned away or late
 }
 
@@ -271,8 +277,12 @@
 		out.Ending != d.Missing && nt.ran == nil {
 		nt.ran = p
 	}
+	if out.Ending == d.Missing && nt.asked && !nt.missed {
+		nt.missed = true
+		return l.place(now, dl, nt)
+	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
-	if len(nt.pulls) > furtherPulls || len(nt.pulls) >= l.s.MostPulls || overloaded {
+	if len(nt.pulls) > furtherPulls+bit(nt.missed) || len(nt.pulls) >= l.s.MostPulls || overloaded {
 		return l.giveUp(dl, nt)
 	}
 	return l.place(now, dl, nt)
@@ -285,8 +295,15 @@
 	}
 	work := l.work(dl)
 	edge := l.pick(now, &l.edges, nt, l.types[dl.Type].work, func(n *node) bool {
-		return !nt.tried(n) && l.inGroup(dl, nt, n) && float64(n.out) < n.limit
+		return (!nt.tried(n) || nt.missed && n == nt.last().edge) && l.inGroup(dl, nt, n) && float64(n.out) < n.limit
 	})
+	ask, fill := false, l.gated > 0 && !dl.Type.PassThrough
+	if fill && edge != nil {
+		ask = !nt.asked && warmth(now, edge, l.s.Edge) >= 1
+		if fill = !ask; fill && float64(l.gate.out) >= l.gate.limit {
+			edge, l.gated = nil, now
+		}
+	}
 	if edge == nil {
 		if now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
@@ -300,12 +317,14 @@
 	}
 	if dl.Type.PassThrough {
 		p.source, ans.Keep, ans.Join, ans.Renew, ans.Oldest = l.origin, 0, false, false, 0
+	} else if ask {
+		p.source, nt.asked = edge, true
 	} else {
-		fill := l.types[dl.Type].work
-		if warmth(now, edge, l.s.Edge) >= 1 {
-			fill *= l.missing
+		load := l.types[dl.Type].work
+		if warmth(now, edge, l.s.Edge) >= 1 && !fill {
+			load *= l.missing
 		}
-		p.source = l.pick(now, &l.parents, nt, fill, func(n *node) bool { return !nt.failed(n) })
+		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil {
 			p.source = l.origin
 		}
@@ -318,6 +337,9 @@
 			n.trying, p.trial = true, n
 		}
 	}
+	if p.fill = fill; fill {
+		l.gate.out++
+	}
 	edge.out++
 	nt.pulls = append(nt.pulls, p)
 	nt.looked = now
@@ -398,6 +420,12 @@
 // learn takes a pull's end into what is known of its nodes.
 func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
 	p.edge.out--
+	if p.fill {
+		l.gate.out--
+	}
+	if l.gated > 0 && l.gated+skipParent < now {
+		l.gated = 0
+	}
 	if p.trial != nil {
 		p.trial.trying = false
 	}
@@ -433,6 +461,9 @@
 				s.bad, s.trial, s.skipFor = 0, false, 0
 			}
 		}
+		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
+			l.filled(now, p, float64(took)/float64(l.target(dl)))
+		}
 		row := l.types[dl.Type]
 		if dl.SizeKB == 0 && out.Filling == d.Hit {
 			row.learn(float64(took))
@@ -462,6 +493,28 @@
 	}
 }
 
+// filled watches how fast fills are. Once they are jammed the home is asked first for what it holds, and
+// misses pass a gate that lets through as many as come in time. Guards against a location's link, a
+// parent or the origin jammed by fills that all end late, are dropped and must be made again; helps
+// whatever made them slow. Could harm where few are slow for long: then misses wait that need not.
+func (l *Logic) filled(now d.Micros, p *pull, part float64) {
+	g := &l.gate
+	g.slow += (part - g.slow) / slowMemory
+	switch {
+	case l.gated == 0 && g.slow > jamPart:
+		l.gated, g.cutAt = now, now
+		g.limit = 0
+		for _, n := range l.edges.ready {
+			g.limit += float64(n.out) * l.missing / 2
+		}
+		g.limit = max(1, g.limit)
+	case l.gated > 0 && g.slow > easePart:
+		g.cut(now, p)
+	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
+		g.limit += 1 / g.limit
+	}
+}
+
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped.
 func (n *node) strike(l *Logic, now d.Micros) {
 	if n.bad++; n.bad >= strikes {
@@ -559,6 +612,13 @@
 	*share += (target - *share) / memory
 }
 
+func bit(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // hashOf is FNV-1a, well mixed: the same in every process.
 func hashOf(s string) uint64 {
 	h := uint64(14695981039346656037)
