--- a/logic/logic.go
+++ b/logic/logic.go
@@ -503,16 +503,15 @@
 	switch {
 	case l.gated == 0 && g.slow > jamPart:
 		l.gated, g.cutAt = now, now
-		g.limit = 0
 		for _, n := range l.edges.ready {
 			g.limit += float64(n.out) * l.missing / 2
 		}
-		g.limit = max(1, g.limit)
 	case l.gated > 0 && g.slow > easePart:
 		g.cut(now, p)
 	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
 		g.limit += 1 / g.limit
 	}
+	g.limit = max(g.limit, 1, l.edges.link/float64(d.Second)) // fewer cannot jam the link
 }
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped.
