--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,8 +294,11 @@
 		return l.giveUp(dl, nt)
 	}
 	work := l.work(dl)
+	allowed := func(n *node) bool {
+		return (!nt.tried(n) || nt.missed && n == nt.last().edge) && l.inGroup(dl, nt, n)
+	}
 	edge := l.pick(now, &l.edges, nt, l.types[dl.Type].work, func(n *node) bool {
-		return (!nt.tried(n) || nt.missed && n == nt.last().edge) && l.inGroup(dl, nt, n) && float64(n.out) < n.limit
+		return float64(n.out) < n.limit && allowed(n)
 	})
 	ask, fill := false, l.gated > 0 && !dl.Type.PassThrough
 	if fill && edge != nil {
@@ -305,7 +308,8 @@
 		}
 	}
 	if edge == nil {
-		if now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
+		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
+		if soon && now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,417 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+
+	d "tallyproxy/director"
+)
+
+func TestOrdinaryPath(t *testing.T) {
+	a, b := newBed(settings(), 4, 3), newBed(settings(), 4, 3)
+	b.s.Zone = 1
+	edges, parents := map[string]int{}, map[string]int{}
+	for i := range 400 {
+		dl, ans := a.ask(fmt.Sprint(i))
+		_, again := b.ask(fmt.Sprint(i))
+		if ans.Node.ID != again.Node.ID || ans.Source.ID != again.Source.ID {
+			t.Fatalf("object %d: two instances disagree: %s/%s and %s/%s", i, ans.Node.ID, ans.Source.ID,
+				again.Node.ID, again.Source.ID)
+		}
+		if ans.Verb != d.Pull || ans.Keep != 2 || !ans.Join || ans.TimeOut != 3*d.Second {
+			t.Fatalf("object %d: %+v", i, ans)
+		}
+		edges[ans.Node.ID]++
+		parents[ans.Source.ID]++
+		a.end(dl, ms, d.Fulfilled, d.Hit)
+		b.gate.limit, b.now = 0, b.now+ms
+		for _, e := range b.edges.ready {
+			e.out = 0
+		}
+	}
+	for id, n := range edges {
+		if n < 60 || n > 140 {
+			t.Errorf("edge %s has %d of 400 objects", id, n)
+		}
+	}
+	if len(edges) != 4 || len(parents) != 3 {
+		t.Errorf("edges %v, parents %v", edges, parents)
+	}
+}
+
+func TestWhereWithoutSomeNodes(t *testing.T) {
+	cases := []struct {
+		name           string
+		edges, parents int
+		change         []d.Node
+		verb           d.Verb
+		source         string
+	}{
+		{"no parents", 2, 0, nil, d.Pull, "o"},
+		{"one of each", 1, 1, nil, d.Pull, "p0"},
+		{"no edges yet", 0, 1, nil, d.Hold, ""},
+		{"draining parent", 1, 1, []d.Node{{ID: "p0", Kind: 1, State: d.Draining}}, d.Pull, "o"},
+		{"gone parent", 1, 1, []d.Node{{ID: "p0", Kind: 1, State: d.Gone}}, d.Pull, "o"},
+		{"draining edge", 1, 1, []d.Node{{ID: "e0", Zone: 1, State: d.Draining}}, d.Hold, ""},
+		{"edge of another zone", 0, 1, []d.Node{{ID: "x", Zone: 2}}, d.Hold, ""},
+		{"no origin", 1, 0, []d.Node{{ID: "o", Kind: 2, State: d.Gone}}, d.Pull, "e0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(settings(), c.edges, c.parents)
+			b.list(c.change...)
+			dl, ans := b.ask("a")
+			if ans.Verb != c.verb || ans.Source != nil && ans.Source.ID != c.source {
+				t.Fatalf("%+v", ans)
+			}
+			if c.verb == d.Hold {
+				if wait := b.Wait(b.now, dl); wait <= 0 || wait > b.t.TargetTime {
+					t.Errorf("held for %d", wait)
+				}
+				b.now += 2 * d.Second
+				if ans := b.Where(b.now, dl); ans.Verb != d.Throttle || ans.ComeBack <= 0 {
+					t.Errorf("after its target time: %+v", ans)
+				}
+			}
+		})
+	}
+	t.Run("a complete list leaves out the rest", func(t *testing.T) {
+		b := newBed(settings(), 3, 1)
+		b.Listed(b.now, []d.Node{{ID: "e1", Zone: 1}}, true)
+		if _, ans := b.ask("a"); ans.Node.ID != "e1" || ans.Source.ID != "e1" || len(b.nodes) != 1 {
+			t.Errorf("%+v", ans)
+		}
+	})
+	t.Run("no patience left", func(t *testing.T) {
+		b := newBed(settings(), 1, 1)
+		dl := b.download("a")
+		dl.Leaves = b.now
+		if ans := b.Where(b.now, dl); ans.Verb != d.Throttle {
+			t.Errorf("%+v", ans)
+		}
+	})
+}
+
+// Rule 2: what may follow a pull that ended badly.
+func TestRepeats(t *testing.T) {
+	cases := []struct {
+		name   string
+		repeat d.Repeat
+		scope  d.Scope
+		ending d.Ending
+		after  d.Micros
+		verb   d.Verb
+	}{
+		{"retriable may run again", d.Retriable, d.ScopeAll, d.Broken, 0, d.Pull},
+		{"non-retriable that may have run", d.NonRetriable, d.ScopeAll, d.Broken, 0, d.Abandon},
+		{"non-retriable, error answer", d.NonRetriable, d.ScopeAll, d.Failed, 0, d.Abandon},
+		{"non-retriable that never ran", d.NonRetriable, d.ScopeAll, d.TurnedAway, 0, d.Pull},
+		{"non-retriable, not reached", d.NonRetriable, d.ScopeAll, d.Unreached, 0, d.Pull},
+		{"deduped in its window", d.Deduped, d.ScopeAll, d.Broken, d.Second, d.Pull},
+		{"deduped past its window", d.Deduped, d.ScopeAll, d.Broken, 3 * d.Second, d.Throttle},
+		{"deduped, other cell", d.Deduped, d.ScopeCell, d.Broken, 0, d.Abandon},
+		{"deduped, same zone", d.Deduped, d.ScopeZone, d.Broken, 0, d.Pull},
+		{"deduped, zone, past its window", d.Deduped, d.ScopeZone, d.TimedOut, 3 * d.Second, d.Abandon},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.Types[0].Repeat, s.Types[0].Scope, s.Types[0].PassThrough = c.repeat, c.scope, true
+			b := newBed(s, 0, 1)
+			b.list(d.Node{ID: "e0", Zone: 1, Cell: 1}, d.Node{ID: "e1", Zone: 1, Cell: 2})
+			dl := b.download("a")
+			dl.Leaves += 5 * d.Second
+			first := b.Where(b.now, dl)
+			if first.Source.ID != "o" || first.Keep != 0 || first.Join {
+				t.Errorf("a pass-through pull: %+v", first)
+			}
+			if ans := b.end(dl, c.after, c.ending, d.Untold); ans.Verb != c.verb ||
+				ans.Verb == d.Pull && ans.Node == first.Node {
+				t.Errorf("%+v", ans)
+			}
+		})
+	}
+}
+
+func TestFurtherPulls(t *testing.T) {
+	cases := []struct {
+		name    string
+		trouble float64
+		most    int
+		pulls   int
+	}{
+		{"two further ones", 0, 6, 3},
+		{"none while overload is seen", 0.5, 6, 1},
+		{"no more than the settings allow", 0, 2, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.MostPulls = c.most
+			b := newBed(s, 5, 2)
+			b.trouble = c.trouble
+			dl, ans := b.ask("a")
+			pulls := 0
+			for ; ans.Verb == d.Pull; pulls++ {
+				ans = b.end(dl, ms, d.TurnedAway, d.Untold)
+			}
+			if pulls != c.pulls || ans.Verb != d.Throttle {
+				t.Errorf("%d pulls, then %+v", pulls, ans)
+			}
+			dl.Over = true
+			if ans := b.Where(b.now, dl); ans.Verb != d.Nothing || b.Wait(b.now, dl) != 0 {
+				t.Errorf("after the final answer: %+v", ans)
+			}
+		})
+	}
+}
+
+// Rule 5: the oldest copy that will do.
+func TestPurges(t *testing.T) {
+	cases := []struct {
+		name   string
+		fresh  d.Micros
+		object string
+		group  int
+		ago    d.Micros
+		oldest d.Micros
+	}{
+		{"none", 0, "other", 1, d.Second, 0},
+		{"of the object", 0, "a", 7, d.Second, d.Second},
+		{"of the group", 0, "", 7, 2 * d.Second, 2 * d.Second},
+		{"of another group", 0, "", 8, d.Second, 0},
+		{"right now", 0, "a", 7, 0, 1},
+		{"all old copies are gone", 0, "a", 7, 7 * d.Second, 0},
+		{"older than fresh", d.Second, "a", 7, 2 * d.Second, 0},
+		{"younger than fresh", 3 * d.Second, "a", 7, 2 * d.Second, 2 * d.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.Types[0].Fresh = c.fresh
+			b := newBed(s, 2, 1)
+			dl, _ := b.ask("a")
+			b.Purged(b.now, c.object, c.group, b.now-c.ago)
+			if ans := b.end(dl, 0, d.TurnedAway, d.Untold); ans.Oldest != c.oldest || ans.Renew != (c.fresh > 0) {
+				t.Errorf("later pull of a download in hand: %+v", ans)
+			}
+			b.now += 7 * d.Second
+			b.Purged(b.now, "z", 1, b.now)
+			if len(b.purges) != 1 {
+				t.Errorf("%d purges kept", len(b.purges))
+			}
+		})
+	}
+}
+
+// Rule 4: no window holds more than the budget, whatever is asked, and what does not fit goes elsewhere.
+func TestWarmingNodes(t *testing.T) {
+	cases := []struct {
+		name                string
+		edges, parents      int
+		cold                d.Node
+		warm                d.Warming
+		filling             d.Filling
+		served, pullsAMilli int
+	}{
+		{"edge", 3, 1, d.Node{ID: "e9", Zone: 1}, settings().Edge, d.Hit, 400, 5},
+		{"edge, director new", 3, 1, d.Node{ID: "e9", Zone: 1}, settings().Edge, d.Hit, 0, 5},
+		{"only edge", 0, 1, d.Node{ID: "e9", Zone: 1}, settings().Edge, d.Hit, 0, 2},
+		{"parent", 3, 1, d.Node{ID: "p9", Kind: 1}, settings().Parent, d.Filled, 400, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(settings(), c.edges, c.parents)
+			b.serve(c.served, 50*ms, c.filling) // four downloads' worth of work a node at a time
+			c.cold.Started = b.now
+			b.list(c.cold)
+			n := b.nodes[c.cold.ID]
+			sent, other := 0.0, 0
+			for i := range int(c.warm.Window/ms) * c.pullsAMilli {
+				if i%c.pullsAMilli == 0 {
+					b.now += ms
+				}
+				dl, ans := b.ask(fmt.Sprint(i))
+				switch {
+				case ans.Verb != d.Pull:
+				case ans.Node == &n.Node || ans.Source == &n.Node:
+					sent += 200 * float64(ms)
+				default:
+					other++
+				}
+				if ans.Verb == d.Pull {
+					b.end(dl, 0, d.Fulfilled, c.filling)
+				}
+			}
+			tier := &b.edges
+			if c.cold.Kind == 1 {
+				tier = &b.parents
+			}
+			each := max(tier.each, tier.link/float64(len(tier.ready)))
+			budget := c.warm.Multiple * each * (c.warm.From + 0.2) * float64(c.warm.Window) / float64(d.Second)
+			if sent == 0 || sent > budget+200*float64(ms) {
+				t.Errorf("sent %.0f of a budget of %.0f", sent, budget)
+			}
+			if c.edges > 0 && other == 0 {
+				t.Error("nothing went to the others")
+			}
+			b.now += c.warm.Time
+			if w := warmth(b.now, n, c.warm); w != 1 {
+				t.Errorf("still at %.2f after its time", w)
+			}
+		})
+	}
+}
+
+func TestFailedNodesAreSkippedAndTriedCarefully(t *testing.T) {
+	cases := []struct {
+		name   string
+		told   bool
+		ending d.Ending
+		fill   d.Filling
+		times  int
+		edge   bool // the edge is skipped
+		parent bool // the parent is
+	}{
+		{"not reached", false, d.Unreached, d.Untold, 1, true, false},
+		{"broken", false, d.Broken, d.Untold, 1, true, false},
+		{"one error", false, d.Failed, d.Untold, 1, false, false},
+		{"full, again and again", true, d.TurnedAway, d.Untold, 5, false, false},
+		{"source lost, told", true, d.TurnedAway, d.SourceLost, 3, false, true},
+		{"source lost once", true, d.TurnedAway, d.SourceLost, 1, false, false},
+		{"origin failed behind it", true, d.TurnedAway, d.OriginFailed, 5, false, false},
+		{"refused, not told why", false, d.TurnedAway, d.Untold, 3, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.SourcesTold, s.MostPulls = c.told, 1
+			b := newBed(s, 3, 2)
+			objects := b.objects("e1", 40)
+			home, source := b.nodes["e1"], (*node)(nil)
+			for _, object := range objects {
+				if dl, ans := b.ask(object); source == nil || ans.Source == &source.Node {
+					source = b.nodes[ans.Source.ID]
+					if b.end(dl, ms, c.ending, c.fill); c.times == 1 {
+						break
+					}
+					c.times--
+				}
+			}
+			if (home.skipUntil > b.now) != c.edge || (source.skipUntil > b.now) != c.parent {
+				t.Fatalf("edge until %d, parent until %d, now %d", home.skipUntil, source.skipUntil, b.now)
+			}
+			if c.parent && source.skipUntil-b.now != 10*d.Second {
+				t.Errorf("parent skipped for %d", source.skipUntil-b.now)
+			}
+			if !c.edge {
+				return
+			}
+			if _, ans := b.ask(objects[0]); ans.Node.ID == "e1" {
+				t.Error("sent to a skipped edge")
+			}
+			b.now = home.skipUntil
+			dl, trial := b.ask(objects[0])
+			_, second := b.ask(objects[1])
+			if trial.Node.ID != "e1" || second.Node.ID == "e1" {
+				t.Errorf("tried with %s and %s", trial.Node.ID, second.Node.ID)
+			}
+			b.end(dl, ms, d.Fulfilled, d.Hit)
+			if _, ans := b.ask(objects[2]); ans.Node.ID != "e1" {
+				t.Error("not back after a trial that went well")
+			}
+		})
+	}
+	t.Run("a restart forgets", func(t *testing.T) {
+		b := newBed(settings(), 1, 1)
+		b.skip(b.now, b.nodes["e0"], d.Second, d.Second)
+		b.list(d.Node{ID: "e0", Zone: 1, Started: 1})
+		if _, ans := b.ask("a"); ans.Verb != d.Pull {
+			t.Errorf("%+v", ans)
+		}
+	})
+}
+
+func TestSilentNode(t *testing.T) {
+	b := newBed(settings(), 3, 1)
+	objects := b.objects("e1", 4)
+	var dls []*d.Download
+	for _, object := range objects {
+		dl, _ := b.ask(object)
+		dls = append(dls, dl)
+	}
+	b.now += b.Wait(b.now, dls[0])
+	verbs := []d.Verb{}
+	for _, dl := range dls {
+		verbs = append(verbs, b.Where(b.now, dl).Verb)
+	}
+	if want := fmt.Sprint([]d.Verb{d.Nothing, d.Nothing, d.Cancel, d.Cancel}); fmt.Sprint(verbs) != want {
+		t.Fatalf("verbs %v, want %v", verbs, want)
+	}
+	if ans := b.end(dls[2], ms, d.Cancelled, d.Untold); ans.Verb != d.Pull || ans.Node.ID == "e1" {
+		t.Errorf("after the cancel: %+v", ans)
+	}
+	b.end(dls[3], ms, d.Fulfilled, d.Hit)
+	b.now += b.Wait(b.now, dls[0])
+	if ans := b.Where(b.now, dls[0]); ans.Verb != d.Nothing {
+		t.Errorf("a node that was heard of: %+v", ans)
+	}
+}
+
+func TestSlowHitsLimitAnEdge(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		took d.Micros
+		less bool
+	}{{"quick", 200 * ms, false}, {"slow", 790 * ms, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(settings(), 1, 1)
+			for range 20 {
+				var dls []*d.Download
+				for i := range 12 {
+					if dl, ans := b.ask(fmt.Sprint(i)); ans.Verb == d.Pull {
+						dls = append(dls, dl)
+					}
+				}
+				b.now += c.took
+				for _, dl := range dls {
+					b.end(dl, 0, d.Fulfilled, d.Hit)
+				}
+			}
+			if n := b.nodes["e0"]; (n.limit < firstLimit) != c.less || n.out != 0 {
+				t.Errorf("limit %.1f, %d out", n.limit, n.out)
+			}
+		})
+	}
+}
+
+func TestJammedFills(t *testing.T) {
+	b := newBed(settings(), 2, 1)
+	b.serve(60, 900*ms, d.Filled)
+	if b.gated == 0 {
+		t.Fatal("the gate stayed open")
+	}
+	dl, look := b.ask("a")
+	if look.Source != look.Node {
+		t.Fatalf("not asked first: %+v", look)
+	}
+	fill := b.end(dl, ms, d.Missing, d.Untold)
+	if fill.Verb != d.Pull || fill.Node != look.Node || fill.Source.ID != "p0" {
+		t.Fatalf("a miss: %+v", fill)
+	}
+	b.gate.limit = 1
+	other, _ := b.ask("b")
+	if ans := b.end(other, ms, d.Missing, d.Untold); ans.Verb != d.Hold {
+		t.Errorf("a miss before a full gate: %+v", ans)
+	}
+	b.end(dl, ms, d.Fulfilled, d.Filled)
+	if ans := b.Where(b.now, other); ans.Verb != d.Pull || ans.Source.ID != "p0" {
+		t.Errorf("once there is room: %+v", ans)
+	}
+	b.end(other, ms, d.Fulfilled, d.Filled)
+	b.now += 11 * d.Second
+	b.serve(1, ms, d.Hit)
+	if _, ans := b.ask("c"); ans.Source == ans.Node || b.gate.out != 0 {
+		t.Errorf("the gate did not open again: %+v", ans)
+	}
+}
