Old copies before a refusal; more signs before a parent is skipped where answers don't tell

Cause: on raty big-2 the origin stops; both parents took the blame and were skipped, so what they hold was lost too, and content within its grace was refused.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,6 +71,7 @@
 	edge, source *node
 	sent         d.Micros
 	work         float64
+	ask          bool // for what the edge holds, no more
 	fill         bool // counted at the gate for fills
 	over         bool
 	cancelled    bool
@@ -115,7 +116,8 @@
 	pulls  []*pull
 	ran    *pull    // the first pull that may have run
 	looked d.Micros // when the last pull was looked at, or sent
-	asked  bool     // the home was asked for what it holds
+	tries  int      // pulls that were more than a question for what is held
+	asked  int      // the home was asked for what it holds: 1 a fresh copy, 2 an old one
 	missed bool     // and holds nothing
 }
 
@@ -277,12 +279,12 @@
 		out.Ending != d.Missing && nt.ran == nil {
 		nt.ran = p
 	}
-	if out.Ending == d.Missing && nt.asked && !nt.missed {
+	if out.Ending == d.Missing && p.ask {
 		nt.missed = true
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
-	if len(nt.pulls) > furtherPulls+bit(nt.missed) || len(nt.pulls) >= l.s.MostPulls || overloaded {
+	if nt.tries > furtherPulls || len(nt.pulls) >= l.s.MostPulls || overloaded {
 		return l.giveUp(dl, nt)
 	}
 	return l.place(now, dl, nt)
@@ -301,11 +303,18 @@
 		return float64(n.out) < n.limit && allowed(n)
 	})
 	ask, fill := false, l.gated > 0 && !dl.Type.PassThrough
+	stale := dl.Type.Grace > 0 && nt.tries > 0 // better an old copy than a second failure
 	if fill && edge != nil {
-		ask = !nt.asked && warmth(now, edge, l.s.Edge) >= 1
-		if fill = !ask; fill && float64(l.gate.out) >= l.gate.limit {
-			edge, l.gated = nil, now
+		ask = nt.asked == 0 && warmth(now, edge, l.s.Edge) >= 1
+		if !ask && float64(l.gate.out) >= l.gate.limit {
+			l.gated = now
+			if ask = dl.Type.Grace > 0 && nt.asked < 2; ask {
+				stale, nt.asked = true, 1
+			} else {
+				edge = nil
+			}
 		}
+		fill = !ask
 	}
 	if edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
@@ -316,13 +325,14 @@
 	}
 	p := &pull{edge: edge, sent: now, work: work}
 	ans := d.Answer{
-		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl), Join: l.s.JoinFills,
+		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl, stale), Join: l.s.JoinFills,
 		Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
 	}
 	if dl.Type.PassThrough {
 		p.source, ans.Keep, ans.Join, ans.Renew, ans.Oldest = l.origin, 0, false, false, 0
 	} else if ask {
-		p.source, nt.asked = edge, true
+		p.source, p.ask = edge, true
+		nt.asked++
 	} else {
 		load := l.types[dl.Type].work
 		if warmth(now, edge, l.s.Edge) >= 1 && !fill {
@@ -344,6 +354,9 @@
 	if p.fill = fill; fill {
 		l.gate.out++
 	}
+	if !ask {
+		nt.tries++
+	}
 	edge.out++
 	nt.pulls = append(nt.pulls, p)
 	nt.looked = now
@@ -437,7 +450,8 @@
 		return
 	}
 	took := now - p.sent
-	late := out.Ending == d.TurnedAway || out.Ending == d.TimedOut || out.Ending == d.Fulfilled && took > l.target(dl)
+	late := out.Ending == d.TurnedAway || out.Ending == d.TimedOut ||
+		out.Ending == d.Fulfilled && took > l.target(dl)
 	step(&l.trouble, late)
 	e, s := p.edge, p.source
 	switch out.Ending {
@@ -520,7 +534,11 @@
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped.
 func (n *node) strike(l *Logic, now d.Micros) {
-	if n.bad++; n.bad >= strikes {
+	enough := strikes
+	if !l.s.SourcesTold { // the edge or the origin may be at fault: wait until that is unlikely
+		enough *= strikes
+	}
+	if n.bad++; n.bad >= enough {
 		l.skip(now, n, skipParent, skipParent)
 	}
 }
@@ -565,17 +583,20 @@
 	return n.Cell == nt.ran.edge.Cell
 }
 
-// oldest is the greatest age of a copy that may answer now; 0 for the content type's own.
-func (l *Logic) oldest(now d.Micros, dl *d.Download) d.Micros {
+// oldest is the greatest age of a copy that may answer now; 0 for the content type's fresh time.
+func (l *Logic) oldest(now d.Micros, dl *d.Download, stale bool) d.Micros {
+	most := dl.Type.Fresh
+	if stale {
+		most += dl.Type.Grace
+	}
 	at := max(l.purges[purgeKey{dl.Object, -1}], l.purges[purgeKey{"", dl.Group}])
-	if at == 0 || at+l.s.PurgeKept < now {
-		return 0
+	if age := max(1, now-at); at > 0 && at+l.s.PurgeKept >= now && (most == 0 || age < most) {
+		return age
 	}
-	age := max(1, now-at)
-	if dl.Type.Fresh > 0 && age >= dl.Type.Fresh {
-		return 0
+	if stale {
+		return most
 	}
-	return age
+	return 0
 }
 
 // work is a download's sending time at full pace.
@@ -615,13 +636,6 @@
 	*share += (target - *share) / memory
 }
 
-func bit(on bool) int {
-	if on {
-		return 1
-	}
-	return 0
-}
-
 // hashOf is FNV-1a, well mixed: the same in every process.
 func hashOf(s string) uint64 {
 	h := uint64(14695981039346656037)
