Sending times learned from hits fall at once and rise ever less

Cause: where sizes are not told, a jam's slow hits raised the mean sending time, that the target time, that the limits: 0.37 s to 1.5 s on the depot incident, and the jam stayed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,13 +37,27 @@
 
 // typeRow is what the module keeps for one content type.
 type typeRow struct {
-	work float64 // mean sending time in µs: told by sizes, else learned from hits
-	seen float64
+	work       float64 // mean sending time in µs: told by sizes, else learned from hits
+	sum, count float64 // of the times now being collected
+	rounds     float64 // collected so far
 }
 
-func (r *typeRow) learn(work float64) {
-	r.seen = min(r.seen+1, memory)
-	r.work += (work - r.work) / r.seen
+// learn takes a sending time. Where sizes are not told it is what a hit took, and hits are slow in a jam:
+// each collection may lower the mean at once, but raise it less and less. Guards against a limit that
+// widens because the jam it should end is taken for long downloads.
+func (r *typeRow) learn(work float64, told bool) {
+	r.sum, r.count = r.sum+work, r.count+1
+	if r.count < memory && r.rounds > 0 {
+		return
+	}
+	mean := r.sum / r.count
+	if !told && r.rounds > 0 && mean > r.work {
+		mean = r.work + (mean-r.work)/r.rounds
+	}
+	r.work = mean
+	if r.count >= memory {
+		r.sum, r.count, r.rounds = 0, 0, min(r.rounds+1, memory)
+	}
 }
 
 // node is one entry of the list, kept until the list says it is gone.
@@ -235,7 +249,7 @@
 		nt = &notes{hash: mix(hashOf(dl.Object) + uint64(dl.Part))} // each part is kept and filled on its own
 		dl.Notes = nt
 		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
-			row.learn(l.work(dl))
+			row.learn(l.work(dl), true)
 		}
 	}
 	if p := nt.last(); p != nil && !p.over {
@@ -484,7 +498,7 @@
 		}
 		row := l.types[dl.Type]
 		if dl.SizeKB == 0 && out.Filling == d.Hit {
-			row.learn(float64(took))
+			row.learn(float64(took), false)
 		}
 	case d.Unreached, d.Broken:
 		l.skip(now, e, d.Second, skipParent)
