--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
 	memory        = 100           // pulls over which running means look back, about
-	easePart      = 0.6           // hits should take this part of their target time at the most
+	easePart      = 0.45          // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
