--- a/director/director.go
+++ b/director/director.go
@@ -118,6 +118,7 @@
 	Part    int // of the object; every part is kept and filled on its own
 	Group   int
 	SizeKB  float64 // 0 where not told
+	Again   bool    // the client tried before, where clients say so
 	Arrived Micros
 	Leaves  Micros // the client is gone from here on
 	Over    bool   // the final answer is out, or the client has left
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -236,6 +236,7 @@
 		return fmt.Errorf("ingress: lane %d is not in the settings", lane)
 	}
 	dl.Type, dl.Object = inst.types[lane], msg.fields["object"]
+	dl.Again = msg.fields["resent"] == "1"
 	dl.Arrived, dl.Leaves = h.now, h.now+patience
 	inst.downloads[xid] = dl
 	h.act(inst, dl, inst.module.Where(h.now, &dl.Download))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
 	memory        = 100           // pulls over which running means look back, about
-	easePart      = 0.45          // hits should take this part of their target time at the most
+	easePart      = 0.6           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
@@ -332,7 +332,8 @@
 	}
 	if edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		if soon && now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
+		slack := d.Micros(float64(l.target(dl)) * (1 - easePart))
+		if soon && !dl.Again && now-dl.Arrived < slack && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
