--- a/logic/logic.go
+++ b/logic/logic.go
@@ -332,8 +332,7 @@
 	}
 	if edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		slack := d.Micros(float64(l.target(dl)) * (1 - easePart))
-		if soon && !dl.Again && now-dl.Arrived < slack && now+l.poll(dl) < dl.Leaves {
+		if soon && !dl.Again && now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
