Downloads that cost more work for their benefit use less of a limit

Cause: under overload a few long downloads hold the links while many short ones end late; both earn the same benefit. Should also help bursts and scans; could harm a content type whose downloads are all long.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -144,6 +144,7 @@
 	parents tier                        // all ready parents
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
+	cost    float64               // work for a unit of benefit, on average
 	missing float64               // share of pulls that were not hits
 	gate    node                  // for fills, while they are jammed: how many may be out
 	gated   d.Micros              // when the gate last held one back; 0 while it is open
@@ -248,6 +249,7 @@
 	if nt == nil {
 		nt = &notes{hash: mix(hashOf(dl.Object) + uint64(dl.Part))} // each part is kept and filled on its own
 		dl.Notes = nt
+		l.cost += (l.work(dl)/max(dl.Type.Benefit, 1e-9) - l.cost) / memory
 		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
 			row.learn(l.work(dl), true)
 		}
@@ -313,14 +315,15 @@
 	allowed := func(n *node) bool {
 		return (!nt.tried(n) || nt.missed && n == nt.last().edge) && l.inGroup(dl, nt, n)
 	}
+	room := l.room(dl)
 	edge := l.pick(now, &l.edges, nt, l.types[dl.Type].work, func(n *node) bool {
-		return float64(n.out) < n.limit && allowed(n)
+		return float64(n.out) < n.limit*room && allowed(n)
 	})
 	ask, fill := false, l.gated > 0 && !dl.Type.PassThrough
 	stale := dl.Type.Grace > 0 && nt.tries > 0 // better an old copy than a second failure
 	if fill && edge != nil {
 		ask = nt.asked == 0 && warmth(now, edge, l.s.Edge) >= 1
-		if !ask && float64(l.gate.out) >= l.gate.limit {
+		if !ask && float64(l.gate.out) >= l.gate.limit*room {
 			l.gated = now
 			if ask = dl.Type.Grace > 0 && nt.asked < 2; ask {
 				stale, nt.asked = true, 1
@@ -332,7 +335,7 @@
 	}
 	if edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		if soon && !dl.Again && now-dl.Arrived+d.Micros(work) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
+		if soon && !dl.Again && now-dl.Arrived+d.Micros(work/easePart) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
@@ -566,6 +569,14 @@
 	n.skipUntil, n.trial, n.bad = now+n.skipFor, true, 0
 }
 
+// room is the part of a limit that a download may use: all of it, or less where it costs more work for
+// its benefit than most. Guards against a few long downloads that make many short ones late; acts only
+// where limits are reached. Could harm a content type whose downloads are all long.
+func (l *Logic) room(dl *d.Download) float64 {
+	cost := l.work(dl) / max(dl.Type.Benefit, 1e-9)
+	return (1 + min(1, l.cost/max(cost, 1))) / 2
+}
+
 // giveUp ends a download at once: with a throttling reply where a new try is harmless, else abandoned.
 func (l *Logic) giveUp(dl *d.Download, nt *notes) d.Answer {
 	if nt.ran != nil && (dl.Type.Repeat == d.NonRetriable ||
