--- a/logic/logic.go
+++ b/logic/logic.go
@@ -574,7 +574,7 @@
 // where limits are reached. Could harm a content type whose downloads are all long.
 func (l *Logic) room(dl *d.Download) float64 {
 	cost := l.work(dl) / max(dl.Type.Benefit, 1e-9)
-	return (1 + 3*min(1, l.cost/max(cost, 1))) / 4
+	return (1 + min(1, l.cost/max(cost, 1))) / 2
 }
 
 // giveUp ends a download at once: with a throttling reply where a new try is harmless, else abandoned.
