--- a/logic/logic.go
+++ b/logic/logic.go
@@ -549,14 +549,25 @@
 	g.limit = max(g.limit, 1, l.edges.link/float64(d.Second)) // fewer cannot jam the link
 }
 
-// strike counts a fill that a source failed or was slow with; some in a row and it is skipped.
+// strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
+// answers don't tell whose fault it was, it takes more, and when no other parent is left either the
+// trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
+// up what parents hold while the origin fails. Could harm while all parents are dead but still listed.
 func (n *node) strike(l *Logic, now d.Micros) {
 	enough := strikes
-	if !l.s.SourcesTold { // the edge or the origin may be at fault: wait until that is unlikely
+	if !l.s.SourcesTold {
 		enough *= strikes
 	}
-	if n.bad++; n.bad >= enough {
+	if n.bad++; n.bad < enough {
+		return
+	}
+	usable := func(p *node) bool { return p != n && p.skipUntil <= now }
+	if l.s.SourcesTold || slices.ContainsFunc(l.parents.ready, usable) {
 		l.skip(now, n, skipParent, skipParent)
+		return
+	}
+	for _, p := range l.parents.ready {
+		p.bad, p.skipUntil, p.trial = 0, 0, false
 	}
 }
 
