--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	skipParent    = 10 * d.Second // the design page's figure
 	furtherPulls  = 2             // beyond the first, while no overload is seen
 	strikes       = 3             // bad ends in a row that count as a node's failure
-	overloadShare = 0.25          // share of pulls turned away or late from which overload is seen
+	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
 	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
 	memory        = 100           // pulls over which running means look back, about
