--- a/logic/logic.go
+++ b/logic/logic.go
@@ -193,12 +193,12 @@
 			continue
 		}
 		if n == nil {
-			n = newNode(hashOf(row.ID), now)
+			n = l.newNode(hashOf(row.ID), now)
 			l.nodes[row.ID] = n
 		}
 		if n.Started != row.Started { // a fresh process: what was known of the old one is void
 			out := n.out
-			*n = *newNode(n.hash, now)
+			*n = *l.newNode(n.hash, now)
 			n.out = out
 		}
 		n.Node, n.draining = row, row.State == d.Draining
@@ -222,8 +222,8 @@
 	slices.SortFunc(l.parents.ready, byID)
 }
 
-func newNode(hash uint64, now d.Micros) *node {
-	return &node{hash: hash, heard: now, limit: firstLimit}
+func (l *Logic) newNode(hash uint64, now d.Micros) *node {
+	return &node{hash: hash, heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
 }
 
 // Purged takes a purge. It binds from now on, for later pulls of downloads in hand too.
