--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,6 +85,7 @@
 	edge, source *node
 	sent         d.Micros
 	work         float64
+	light        bool // the edge was far from its limit
 	ask          bool // for what the edge holds, no more
 	fill         bool // counted at the gate for fills
 	over         bool
@@ -374,6 +375,7 @@
 	if !ask {
 		nt.tries++
 	}
+	p.light = float64(edge.out) < edge.limit/2
 	edge.out++
 	nt.pulls = append(nt.pulls, p)
 	nt.looked = now
@@ -484,7 +486,7 @@
 			if e.slow > easePart {
 				e.cut(now, p)
 			} else if float64(e.out+1) > e.limit*cutTo {
-				e.limit += 1 / e.limit
+				e.grow()
 			}
 		}
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
@@ -500,7 +502,7 @@
 			l.filled(now, p, float64(took)/float64(l.target(dl)))
 		}
 		row := l.types[dl.Type]
-		if dl.SizeKB == 0 && out.Filling == d.Hit {
+		if dl.SizeKB == 0 && out.Filling == d.Hit && p.light {
 			row.learn(float64(took), false)
 		}
 	case d.Unreached, d.Broken:
@@ -521,6 +523,15 @@
 	}
 }
 
+// grow raises a limit by about one for all pulls that were out together, and faster before its first cut.
+func (n *node) grow() {
+	if n.cutAt == 0 {
+		n.limit += 0.5
+		return
+	}
+	n.limit += 1 / n.limit
+}
+
 // cut lowers an edge's limit, once for all pulls that were out together.
 func (n *node) cut(now d.Micros, p *pull) {
 	if p.sent >= n.cutAt {
@@ -544,7 +555,7 @@
 	case l.gated > 0 && g.slow > easePart:
 		g.cut(now, p)
 	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
-		g.limit += 1 / g.limit
+		g.grow()
 	}
 	g.limit = max(g.limit, 1, l.edges.link/float64(d.Second)) // fewer cannot jam the link
 }
