--- a/logic/logic.go
+++ b/logic/logic.go
@@ -523,14 +523,8 @@
 	}
 }
 
-// grow raises a limit by about one for all pulls that were out together, and faster before its first cut.
-func (n *node) grow() {
-	if n.cutAt == 0 {
-		n.limit += 0.5
-		return
-	}
-	n.limit += 1 / n.limit
-}
+// grow raises a limit by about one for all pulls that were out together.
+func (n *node) grow() { n.limit += 1 / n.limit }
 
 // cut lowers an edge's limit, once for all pulls that were out together.
 func (n *node) cut(now d.Micros, p *pull) {
