--- a/logic/logic.go
+++ b/logic/logic.go
@@ -482,8 +482,7 @@
 		e.bad, e.trial, e.skipFor = 0, false, 0
 		l.edges.did(now, e, p.work)
 		if out.Filling == d.Hit {
-			weight := min(1, float64(l.target(dl))/float64(2*dl.Type.TargetTime+1))
-			e.slow += (float64(took)/float64(l.target(dl)) - e.slow) * weight / slowMemory
+			e.slow += (float64(took)/float64(l.target(dl)) - e.slow) / slowMemory
 			if e.slow > easePart {
 				e.cut(now, p)
 			} else if float64(e.out+1) > e.limit*cutTo {
