Straight to a parent when no cache can take a download; silent sources found as silent edges are

Straight pulls pass the gate for fills, so the location's link is not jammed by them; could harm a parent where a whole hub's locations lose their caches.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -88,6 +88,8 @@
 	light        bool // the edge was far from its limit
 	ask          bool // for what the edge holds, no more
 	fill         bool // counted at the gate for fills
+	straight     bool // to a parent, past the caches
+	blameless    bool // the edge: the source failed it
 	over         bool
 	cancelled    bool
 	trial        *node
@@ -133,7 +135,6 @@
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
 	asked  int      // the home was asked for what it holds: 1 a fresh copy, 2 an old one
-	missed bool     // and holds nothing
 }
 
 // Logic is one instance.
@@ -297,7 +298,6 @@
 		nt.ran = p
 	}
 	if out.Ending == d.Missing && p.ask {
-		nt.missed = true
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
@@ -312,75 +312,85 @@
 	if dl.Leaves <= now || !l.mayRepeat(now, dl, nt) {
 		return l.giveUp(dl, nt)
 	}
-	work := l.work(dl)
-	allowed := func(n *node) bool {
-		return (!nt.tried(n) || nt.missed && n == nt.last().edge) && l.inGroup(dl, nt, n)
-	}
-	room := l.room(dl)
-	edge := l.pick(now, &l.edges, nt, l.types[dl.Type].work, func(n *node) bool {
+	p := &pull{sent: now, work: l.work(dl)}
+	mean, room, stale := l.types[dl.Type].work, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
+	allowed := func(n *node) bool { return !nt.tried(n) && l.inGroup(dl, nt, n) }
+	p.edge = l.pick(now, &l.edges, nt, mean, func(n *node) bool {
 		return float64(n.out) < n.limit*room && allowed(n)
 	})
-	ask, fill := false, l.gated > 0 && !dl.Type.PassThrough
-	stale := dl.Type.Grace > 0 && nt.tries > 0 // better an old copy than a second failure
-	if fill && edge != nil {
-		ask = nt.asked == 0 && warmth(now, edge, l.s.Edge) >= 1
-		if !ask && float64(l.gate.out) >= l.gate.limit*room {
-			l.gated = now
-			if ask = dl.Type.Grace > 0 && nt.asked < 2; ask {
+	if p.edge == nil && l.s.Direct && l.pick(now, &l.edges, nt, mean, allowed) == nil {
+		p.edge = l.pick(now, &l.parents, nt, mean, allowed) // no cache here can take it, full or not
+		p.straight = p.edge != nil
+	}
+	p.fill = p.straight || l.gated > 0 && !dl.Type.PassThrough
+	if p.fill && p.edge != nil {
+		p.ask = !p.straight && nt.asked == 0 && warmth(now, p.edge, l.s.Edge) >= 1
+		if !p.ask && float64(l.gate.out) >= l.gateLimit()*room {
+			if l.gated > 0 {
+				l.gated = now
+			}
+			if p.ask = !p.straight && dl.Type.Grace > 0 && nt.asked < 2; p.ask {
 				stale, nt.asked = true, 1
 			} else {
-				edge = nil
+				p.edge = nil
 			}
 		}
-		fill = !ask
+		p.fill = !p.ask
 	}
-	if edge == nil {
+	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		if soon && !dl.Again && now-dl.Arrived+d.Micros(work/easePart) < l.target(dl) && now+l.poll(dl) < dl.Leaves {
+		late := now-dl.Arrived+d.Micros(p.work/easePart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
+		if soon && !dl.Again && !late {
 			return d.Answer{Verb: d.Hold}
 		}
 		return l.giveUp(dl, nt)
 	}
-	p := &pull{edge: edge, sent: now, work: work}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl, stale), Join: l.s.JoinFills,
 		Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
 	}
-	if dl.Type.PassThrough {
+	switch {
+	case dl.Type.PassThrough:
 		p.source, ans.Keep, ans.Join, ans.Renew, ans.Oldest = l.origin, 0, false, false, 0
-	} else if ask {
-		p.source, p.ask = edge, true
+	case p.straight:
+		p.source = l.origin
+	case p.ask:
+		p.source = p.edge
 		nt.asked++
-	} else {
-		load := l.types[dl.Type].work
-		if warmth(now, edge, l.s.Edge) >= 1 && !fill {
-			load *= l.missing
+	default:
+		if !p.fill && warmth(now, p.edge, l.s.Edge) >= 1 {
+			mean *= l.missing
 		}
-		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
+		p.source = l.pick(now, &l.parents, nt, mean, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil {
 			p.source = l.origin
 		}
 	}
 	if p.source == nil {
-		p.source = edge
+		p.source = p.edge
 	}
-	for _, n := range []*node{edge, p.source} {
+	l.send(now, nt, p, mean)
+	ans.Node, ans.Source = &p.edge.Node, &p.source.Node
+	return ans
+}
+
+// send counts a pull that goes out.
+func (l *Logic) send(now d.Micros, nt *notes, p *pull, load float64) {
+	for _, n := range []*node{p.edge, p.source} {
 		if n.trial && !n.trying && p.trial == nil {
 			n.trying, p.trial = true, n
 		}
+		n.level += load
 	}
-	if p.fill = fill; fill {
+	if p.fill {
 		l.gate.out++
 	}
-	if !ask {
+	if !p.ask {
 		nt.tries++
 	}
-	p.light = float64(edge.out) < edge.limit/2
-	edge.out++
-	nt.pulls = append(nt.pulls, p)
-	nt.looked = now
-	ans.Node, ans.Source = &edge.Node, &p.source.Node
-	return ans
+	p.light = float64(p.edge.out) < p.edge.limit/2
+	p.edge.out++
+	nt.pulls, nt.looked = append(nt.pulls, p), now
 }
 
 // pick takes the ready node with the highest hash of object and node. It passes over, for the next one
@@ -403,9 +413,6 @@
 		}
 		best, bestHash = n, h
 	}
-	if best != nil && warmth(now, best, t.warm) < 1 {
-		best.level += work
-	}
 	return best
 }
 
@@ -429,22 +436,26 @@
 	return n.level == 0 || n.level+work < allowance*float64(t.warm.Window)/float64(d.Second)/2
 }
 
-// look sees to a pull that is still out: when its node has answered nobody since it was sent, and other
-// pulls of the node found the same, the node is taken for silent and the download goes elsewhere.
-// Guards against machines that vanish without a reset; helps with any that hang. Could harm where a
-// node's few answers are all long ones.
+// look sees to a pull that is still out. When its edge has answered nobody since it was sent, or when
+// the edge has but nothing came through the source since, and other pulls found the same, that node is
+// taken for silent and the download goes elsewhere. Guards against machines that vanish without a reset;
+// helps with any that hang. Could harm where a node's few answers are all long ones.
 func (l *Logic) look(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
 	if p.cancelled || now < nt.looked+l.checkAfter(dl) {
 		return d.Answer{}
 	}
 	nt.looked = now
-	if p.edge.heard > p.sent {
+	n := p.edge
+	if p.blameless = n.heard > p.sent; p.blameless {
+		n = p.source
+	}
+	if n.heard > p.sent || n == l.origin {
 		return d.Answer{}
 	}
-	if p.edge.unheard++; p.edge.unheard < strikes {
+	if n.unheard++; n.unheard < strikes {
 		return d.Answer{}
 	}
-	l.skip(now, p.edge, d.Second, skipParent)
+	l.skip(now, n, d.Second, skipParent)
 	p.cancelled = true
 	return d.Answer{Verb: d.Cancel, Pull: len(nt.pulls) - 1}
 }
@@ -480,7 +491,11 @@
 	switch out.Ending {
 	case d.Fulfilled:
 		e.bad, e.trial, e.skipFor = 0, false, 0
-		l.edges.did(now, e, p.work)
+		if p.straight {
+			l.parents.did(now, e, p.work)
+		} else {
+			l.edges.did(now, e, p.work)
+		}
 		if out.Filling == d.Hit {
 			e.slow += (float64(took)/float64(l.target(dl)) - e.slow) / slowMemory
 			if e.slow > easePart {
@@ -492,6 +507,7 @@
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
 			l.parents.did(now, s, p.work)
+			s.heard, s.unheard = now, 0
 			if l.s.SourcesTold && out.Filling == d.Filled && out.Waited > dl.Type.TargetTime {
 				s.strike(l, now)
 			} else {
@@ -509,9 +525,11 @@
 		l.skip(now, e, d.Second, skipParent)
 	case d.TurnedAway, d.Failed, d.TimedOut:
 		switch {
-		case l.s.SourcesTold && (out.Filling == d.SourceRefused || out.Filling == d.SourceLost):
+		case out.Filling == d.SourceRefused || out.Filling == d.SourceLost:
+			p.blameless = true
 			s.strike(l, now)
-		case l.s.SourcesTold && out.Filling == d.OriginFailed:
+		case out.Filling == d.OriginFailed:
+			p.blameless = true
 		default:
 			if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
 				l.skip(now, e, d.Second, skipParent)
@@ -551,9 +569,12 @@
 	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
 		g.grow()
 	}
-	g.limit = max(g.limit, 1, l.edges.link/float64(d.Second)) // fewer cannot jam the link
+	g.limit = l.gateLimit()
 }
 
+// gateLimit is how many fills may be out: never fewer than the link carries at full pace.
+func (l *Logic) gateLimit() float64 { return max(l.gate.limit, 1, l.edges.link/float64(d.Second)) }
+
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
 // answers don't tell whose fault it was, it takes more, and when no other parent is left either the
 // trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
@@ -661,7 +682,7 @@
 }
 
 func (nt *notes) tried(n *node) bool {
-	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.edge == n })
+	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.edge == n && !p.ask && !p.blameless })
 }
 
 func (nt *notes) failed(n *node) bool {
