--- a/logic/logic.go
+++ b/logic/logic.go
@@ -408,7 +408,7 @@
 		if best != nil && h < bestHash || !allowed(n) || n.skipUntil > now || n.trial && n.trying {
 			continue
 		}
-		if w := warmth(now, n, t.warm); w < 1 && (float64(mix(h)>>11)/(1<<53) > w*t.warm.Multiple*budgetPart || !t.fits(now, n, work)) {
+		if w := warmth(now, n, t.warm); w < 1 && (float64(mix(h)>>11)/(1<<53) > w || !t.fits(now, n, work)) {
 			continue
 		}
 		best, bestHash = n, h
