--- a/logic/logic.go
+++ b/logic/logic.go
@@ -573,7 +573,7 @@
 }
 
 // gateLimit is how many fills may be out: never fewer than the link carries at full pace.
-func (l *Logic) gateLimit() float64 { return max(l.gate.limit, 1, l.edges.link/float64(d.Second)) }
+func (l *Logic) gateLimit() float64 { return max(l.gate.limit, 1, 1.5*l.edges.link/float64(d.Second)) }
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
 // answers don't tell whose fault it was, it takes more, and when no other parent is left either the
