--- a/logic/logic.go
+++ b/logic/logic.go
@@ -445,14 +445,14 @@
 		return d.Answer{}
 	}
 	nt.looked = now
-	n := p.edge
+	n, enough := p.edge, strikes
 	if p.blameless = n.heard > p.sent; p.blameless {
-		n = p.source
+		n, enough = p.source, strikes*strikes // fills are slow more often than hits
 	}
 	if n.heard > p.sent || n == l.origin {
 		return d.Answer{}
 	}
-	if n.unheard++; n.unheard < strikes {
+	if n.unheard++; n.unheard < enough {
 		return d.Answer{}
 	}
 	l.skip(now, n, d.Second, skipParent)
