--- a/logic/logic.go
+++ b/logic/logic.go
@@ -445,14 +445,14 @@
 		return d.Answer{}
 	}
 	nt.looked = now
-	n, enough := p.edge, strikes
+	n := p.edge
 	if p.blameless = n.heard > p.sent; p.blameless {
-		n, enough = p.source, strikes*strikes // fills are slow more often than hits
+		n = p.source
 	}
 	if n.heard > p.sent || n == l.origin {
 		return d.Answer{}
 	}
-	if n.unheard++; n.unheard < enough {
+	if n.unheard++; n.unheard < strikes {
 		return d.Answer{}
 	}
 	l.skip(now, n, d.Second, skipParent)
