--- a/logic/logic.go
+++ b/logic/logic.go
@@ -541,8 +541,10 @@
 	}
 }
 
-// grow raises a limit by about one for all pulls that were out together.
-func (n *node) grow() { n.limit += 1 / n.limit }
+// grow raises a limit, the faster the farther answers are from being slow. Guards against a limit that
+// was right until a director's neighbour went down, or a cache beside this one. Could overshoot where
+// answers turn slow all at once.
+func (n *node) grow() { n.limit += max(1/n.limit, (1-n.slow/easePart)/4) }
 
 // cut lowers an edge's limit, once for all pulls that were out together.
 func (n *node) cut(now d.Micros, p *pull) {
