--- a/logic/logic.go
+++ b/logic/logic.go
@@ -569,7 +569,7 @@
 	case l.gated > 0 && g.slow > easePart:
 		g.cut(now, p)
 	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
-		g.grow()
+		g.limit += 1 / g.limit
 	}
 	g.limit = l.gateLimit()
 }
