--- a/logic/logic.go
+++ b/logic/logic.go
@@ -89,6 +89,7 @@
 	ask          bool // for what the edge holds, no more
 	fill         bool // counted at the gate for fills
 	straight     bool // to a parent, past the caches
+	slow         bool // counted as a late fill
 	blameless    bool // the edge: the source failed it
 	over         bool
 	cancelled    bool
@@ -448,6 +449,10 @@
 	n := p.edge
 	if p.blameless = n.heard > p.sent; p.blameless {
 		n = p.source
+		if !p.slow && !p.ask && now >= p.sent+l.target(dl) { // a miss, and late: no need to wait for its end
+			p.slow = true
+			l.filled(now, p, 1/easePart)
+		}
 	}
 	if n.heard > p.sent || n == l.origin {
 		return d.Answer{}
@@ -514,7 +519,7 @@
 				s.bad, s.trial, s.skipFor = 0, false, 0
 			}
 		}
-		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
+		if !p.slow && (out.Filling == d.Filled || out.Filling == d.FilledByOrigin) {
 			l.filled(now, p, float64(took)/float64(l.target(dl)))
 		}
 		row := l.types[dl.Type]
