--- a/director/director.go
+++ b/director/director.go
@@ -145,6 +145,7 @@
 	Keep     int    // rank of the copy, 0 to keep none
 	Oldest   Micros // no copy older than this; 0 for the content type's fresh time
 	Join     bool   // join a fill under way
+	Held     bool   // fill from what the source holds, no more
 	Renew    bool   // serve an ageing copy and renew it behind
 	TimeOut  Micros // for this pull
 	Pull     int    // the pull to cancel
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -293,7 +293,7 @@
 	switch a.Verb {
 	case director.Pull:
 		h.send("read_through xid=%d node=%s within=%s keep=%d from-where=%s opts=%d", dl.xid, a.Node.ID,
-			millis(a.TimeOut), a.Keep, a.Source.ID, bit(a.Join, 1)|bit(a.Renew, 8))
+			millis(a.TimeOut), a.Keep, a.Source.ID, bit(a.Join, 1)|bit(a.Held, 2)|bit(a.Renew, 8))
 		if a.Oldest > 0 {
 			h.out.WriteString(" oldness=" + millis(a.Oldest))
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,9 +12,9 @@
 package logic
 
 import (
+	"maps"
 	"math"
 	"slices"
-	"strings"
 
 	d "tallyproxy/director"
 )
@@ -27,6 +27,9 @@
 	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
 	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
+	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds,
+	fillHeld      = 1             // then let it fill from what the parent holds,
+	fillAll       = 2             // then from the origin too
 	memory        = 100           // pulls over which running means look back, about
 	easePart      = 0.6           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
@@ -64,7 +67,6 @@
 type node struct {
 	d.Node
 	hash      uint64
-	draining  bool
 	bad       int      // bad ends in a row
 	skipUntil d.Micros // not used before this
 	skipFor   d.Micros // how long the last skip was
@@ -87,7 +89,9 @@
 	work         float64
 	light        bool // the edge was far from its limit
 	ask          bool // for what the edge holds, no more
+	held         bool // filled from what the source holds, no more
 	fill         bool // counted at the gate for fills
+	deep         bool // and among those that may reach the origin
 	straight     bool // to a parent, past the caches
 	slow         bool // counted as a late fill
 	blameless    bool // the edge: the source failed it
@@ -135,7 +139,8 @@
 	ran    *pull    // the first pull that may have run
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
-	asked  int      // the home was asked for what it holds: 1 a fresh copy, 2 an old one
+	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
+	stale  bool     // the home was asked for an old copy
 }
 
 // Logic is one instance.
@@ -150,6 +155,7 @@
 	cost    float64               // work for a unit of benefit, on average
 	missing float64               // share of pulls that were not hits
 	gate    node                  // for fills, while they are jammed: how many may be out
+	deep    int                   // fills at the gate that may reach the origin
 	gated   d.Micros              // when the gate last held one back; 0 while it is open
 	trouble float64               // share of pulls turned away or late
 }
@@ -176,57 +182,36 @@
 	return l
 }
 
-// Listed takes the list of nodes.
+// Listed takes the list of nodes. A process that started anew is a new node: what was known of the old
+// one, and what is still out there, stays with the old.
 func (l *Logic) Listed(now d.Micros, rows []d.Node, complete bool) {
+	old := l.nodes
 	if complete {
-		keep := map[string]bool{}
-		for _, row := range rows {
-			keep[row.ID] = true
-		}
-		for id := range l.nodes {
-			if !keep[id] {
-				delete(l.nodes, id)
-			}
-		}
+		l.nodes = make(map[string]*node, len(rows))
 	}
 	for _, row := range rows {
-		n := l.nodes[row.ID]
 		if row.State == d.Gone {
 			delete(l.nodes, row.ID)
 			continue
 		}
-		if n == nil {
-			n = l.newNode(hashOf(row.ID), now)
-			l.nodes[row.ID] = n
-		}
-		if n.Started != row.Started { // a fresh process: what was known of the old one is void
-			out := n.out
-			*n = *l.newNode(n.hash, now)
-			n.out = out
+		n := old[row.ID]
+		if n == nil || n.Started != row.Started {
+			n = &node{hash: hashOf(row.ID), heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
 		}
-		n.Node, n.draining = row, row.State == d.Draining
+		n.Node, l.nodes[row.ID] = row, n
 	}
-	l.edges.ready, l.parents.ready, l.origin = l.edges.ready[:0], l.parents.ready[:0], nil
-	for _, n := range l.nodes {
-		switch {
-		case n.draining:
+	l.edges.ready, l.parents.ready, l.origin = nil, nil, nil
+	for _, id := range slices.Sorted(maps.Keys(l.nodes)) {
+		switch n := l.nodes[id]; {
+		case n.State != d.Ready:
 		case n.Kind == l.s.OriginKind:
-			if l.origin == nil || n.ID < l.origin.ID {
-				l.origin = n
-			}
+			l.origin = n
 		case n.Kind == l.s.ParentKind:
 			l.parents.ready = append(l.parents.ready, n)
 		case n.Zone == l.s.Zone:
 			l.edges.ready = append(l.edges.ready, n)
 		}
 	}
-	byID := func(a, b *node) int { return strings.Compare(a.ID, b.ID) }
-	slices.SortFunc(l.edges.ready, byID)
-	slices.SortFunc(l.parents.ready, byID)
-}
-
-func (l *Logic) newNode(hash uint64, now d.Micros) *node {
-	return &node{hash: hash, heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
 }
 
 // Purged takes a purge. It binds from now on, for later pulls of downloads in hand too.
@@ -298,7 +283,10 @@
 		out.Ending != d.Missing && nt.ran == nil {
 		nt.ran = p
 	}
-	if out.Ending == d.Missing && p.ask {
+	if out.Ending == d.Missing && (p.ask || p.held) {
+		if !nt.stale || p.held {
+			nt.stage++
+		}
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
@@ -310,12 +298,12 @@
 
 // place chooses edge and source and words the pull.
 func (l *Logic) place(now d.Micros, dl *d.Download, nt *notes) d.Answer {
-	if dl.Leaves <= now || !l.mayRepeat(now, dl, nt) {
+	if dl.Leaves <= now {
 		return l.giveUp(dl, nt)
 	}
 	p := &pull{sent: now, work: l.work(dl)}
 	mean, room, stale := l.types[dl.Type].work, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
-	allowed := func(n *node) bool { return !nt.tried(n) && l.inGroup(dl, nt, n) }
+	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
 	p.edge = l.pick(now, &l.edges, nt, mean, func(n *node) bool {
 		return float64(n.out) < n.limit*room && allowed(n)
 	})
@@ -323,20 +311,27 @@
 		p.edge = l.pick(now, &l.parents, nt, mean, allowed) // no cache here can take it, full or not
 		p.straight = p.edge != nil
 	}
-	p.fill = p.straight || l.gated > 0 && !dl.Type.PassThrough
-	if p.fill && p.edge != nil {
-		p.ask = !p.straight && nt.asked == 0 && warmth(now, p.edge, l.s.Edge) >= 1
-		if !p.ask && float64(l.gate.out) >= l.gateLimit()*room {
-			if l.gated > 0 {
-				l.gated = now
-			}
-			if p.ask = !p.straight && dl.Type.Grace > 0 && nt.asked < 2; p.ask {
-				stale, nt.asked = true, 1
-			} else {
-				p.edge = nil
-			}
+	if p.edge != nil && (p.straight || l.gated > 0 && !dl.Type.PassThrough) {
+		if p.straight {
+			nt.stage = fillAll
+		} else if warmth(now, p.edge, l.s.Edge) < 1 {
+			nt.stage = max(nt.stage, fillHeld)
+		}
+		limit := l.gateLimit() * room
+		full := float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
+		if full && nt.stage != askEdge && l.gated > 0 {
+			l.gated = now
+		}
+		switch {
+		case nt.stage == askEdge:
+			p.ask = true
+		case full && dl.Type.Grace > 0 && !nt.stale && !p.straight:
+			p.ask, stale, nt.stale = true, true, true
+		case full:
+			p.edge = nil
+		default:
+			p.fill, p.held, p.deep = true, nt.stage == fillHeld, nt.stage == fillAll
 		}
-		p.fill = !p.ask
 	}
 	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
@@ -348,23 +343,20 @@
 	}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl, stale), Join: l.s.JoinFills,
-		Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
+		Held: p.held, Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
 	}
 	switch {
 	case dl.Type.PassThrough:
 		p.source, ans.Keep, ans.Join, ans.Renew, ans.Oldest = l.origin, 0, false, false, 0
 	case p.straight:
 		p.source = l.origin
-	case p.ask:
-		p.source = p.edge
-		nt.asked++
-	default:
+	case !p.ask:
 		if !p.fill && warmth(now, p.edge, l.s.Edge) >= 1 {
 			mean *= l.missing
 		}
 		p.source = l.pick(now, &l.parents, nt, mean, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil {
-			p.source = l.origin
+			p.source, ans.Held = l.origin, false
 		}
 	}
 	if p.source == nil {
@@ -383,12 +375,9 @@
 		}
 		n.level += load
 	}
-	if p.fill {
-		l.gate.out++
-	}
-	if !p.ask {
-		nt.tries++
-	}
+	l.gate.out += bit(p.fill)
+	l.deep += bit(p.deep)
+	nt.tries += bit(!p.ask && !p.held)
 	p.light = float64(p.edge.out) < p.edge.limit/2
 	p.edge.out++
 	nt.pulls, nt.looked = append(nt.pulls, p), now
@@ -471,81 +460,79 @@
 
 // learn takes a pull's end into what is known of its nodes.
 func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
-	p.edge.out--
-	if p.fill {
-		l.gate.out--
-	}
+	e, s, took, target := p.edge, p.source, now-p.sent, l.target(dl)
+	e.out--
+	l.gate.out -= bit(p.fill)
+	l.deep -= bit(p.deep)
 	if l.gated > 0 && l.gated+skipParent < now {
 		l.gated = 0
 	}
 	if p.trial != nil {
 		p.trial.trying = false
 	}
-	if out.Ending == d.NeverSent {
-		return
-	}
-	took := now - p.sent
-	late := out.Ending == d.TurnedAway || out.Ending == d.TimedOut ||
-		out.Ending == d.Fulfilled && took > l.target(dl)
-	step(&l.trouble, late)
-	e, s := p.edge, p.source
-	switch out.Ending {
-	case d.Fulfilled, d.Missing, d.TurnedAway, d.Failed:
-		e.heard, e.unheard = now, 0
-	}
+	step(&l.trouble, out.Ending == d.TurnedAway || out.Ending == d.TimedOut ||
+		out.Ending == d.Fulfilled && took > target)
 	switch out.Ending {
 	case d.Fulfilled:
-		e.bad, e.trial, e.skipFor = 0, false, 0
+		e.good(now)
+		part := float64(took) / float64(target)
 		if p.straight {
 			l.parents.did(now, e, p.work)
 		} else {
 			l.edges.did(now, e, p.work)
 		}
-		if out.Filling == d.Hit {
-			e.slow += (float64(took)/float64(l.target(dl)) - e.slow) / slowMemory
-			if e.slow > easePart {
+		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
+		switch out.Filling {
+		case d.Hit:
+			if e.slow += (part - e.slow) / slowMemory; e.slow > easePart {
 				e.cut(now, p)
 			} else if float64(e.out+1) > e.limit*cutTo {
 				e.grow()
 			}
-		}
-		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
-		if out.Filling == d.Filled || out.Filling == d.FilledByOrigin {
+			if dl.SizeKB == 0 && p.light {
+				l.types[dl.Type].learn(float64(took), false)
+			}
+		case d.Filled, d.FilledByOrigin:
 			l.parents.did(now, s, p.work)
-			s.heard, s.unheard = now, 0
 			if l.s.SourcesTold && out.Filling == d.Filled && out.Waited > dl.Type.TargetTime {
+				s.heard = now
 				s.strike(l, now)
 			} else {
-				s.bad, s.trial, s.skipFor = 0, false, 0
+				s.good(now)
+			}
+			if !p.slow {
+				l.filled(now, p, part)
 			}
 		}
-		if !p.slow && (out.Filling == d.Filled || out.Filling == d.FilledByOrigin) {
-			l.filled(now, p, float64(took)/float64(l.target(dl)))
-		}
-		row := l.types[dl.Type]
-		if dl.SizeKB == 0 && out.Filling == d.Hit && p.light {
-			row.learn(float64(took), false)
-		}
+	case d.Missing:
+		e.heard, e.unheard = now, 0
 	case d.Unreached, d.Broken:
 		l.skip(now, e, d.Second, skipParent)
 	case d.TurnedAway, d.Failed, d.TimedOut:
-		switch {
-		case out.Filling == d.SourceRefused || out.Filling == d.SourceLost:
-			p.blameless = true
-			s.strike(l, now)
-		case out.Filling == d.OriginFailed:
+		if out.Ending != d.TimedOut {
+			e.heard, e.unheard = now, 0
+		}
+		if out.Filling >= d.SourceRefused && out.Filling != d.NoPlace {
 			p.blameless = true
-		default:
-			if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
-				l.skip(now, e, d.Second, skipParent)
-			}
-			if s != e && !l.s.SourcesTold {
+			if out.Filling == d.SourceRefused || out.Filling == d.SourceLost {
 				s.strike(l, now)
 			}
+			return
+		}
+		if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
+			l.skip(now, e, d.Second, skipParent)
+		}
+		if s != e && !l.s.SourcesTold {
+			s.strike(l, now)
 		}
 	}
 }
 
+// good clears a node of what was held against it.
+func (n *node) good(now d.Micros) {
+	n.heard, n.unheard, n.bad, n.trial, n.skipFor = now, 0, 0, false, 0
+}
+
 // grow raises a limit, the faster the farther answers are from being slow. Guards against a limit that
 // was right until a director's neighbour went down, or a cache beside this one. Could overshoot where
 // answers turn slow all at once.
@@ -630,26 +617,18 @@
 	return d.Answer{Verb: d.Throttle, ComeBack: min(l.s.MaxComeBack, dl.Type.TargetTime)}
 }
 
-// mayRepeat says whether rule 2 allows another pull at all.
-func (l *Logic) mayRepeat(now d.Micros, dl *d.Download, nt *notes) bool {
-	switch {
-	case nt.ran == nil || dl.Type.Repeat == d.Retriable:
-		return true
-	case dl.Type.Repeat == d.Deduped:
-		return now < nt.ran.sent+dl.Type.Window
-	}
-	return false
-}
-
-// inGroup says whether a node drops the repeats of what may have run.
-func (l *Logic) inGroup(dl *d.Download, nt *notes, n *node) bool {
-	switch {
-	case nt.ran == nil || dl.Type.Repeat == d.Retriable || dl.Type.Scope == d.ScopeAll:
+// mayRun says whether rule 2 allows a pull to a node after what may have run.
+func mayRun(now d.Micros, dl *d.Download, nt *notes, n *node) bool {
+	switch t, ran := dl.Type, nt.ran; {
+	case ran == nil || t.Repeat == d.Retriable:
 		return true
-	case dl.Type.Scope == d.ScopeZone:
-		return n.Zone == nt.ran.edge.Zone
+	case t.Repeat == d.NonRetriable || now >= ran.sent+t.Window:
+		return false
+	case t.Scope == d.ScopeZone:
+		return n.Zone == ran.edge.Zone
+	default:
+		return t.Scope == d.ScopeAll || n.Cell == ran.edge.Cell
 	}
-	return n.Cell == nt.ran.edge.Cell
 }
 
 // oldest is the greatest age of a copy that may answer now; 0 for the content type's fresh time.
@@ -689,20 +668,25 @@
 }
 
 func (nt *notes) tried(n *node) bool {
-	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.edge == n && !p.ask && !p.blameless })
+	return slices.ContainsFunc(nt.pulls, func(p *pull) bool {
+		return p.edge == n && !p.ask && !p.held && !p.blameless
+	})
 }
 
 func (nt *notes) failed(n *node) bool {
-	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.source == n })
+	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.source == n && !p.held })
 }
 
 // step moves a running share towards an event.
 func step(share *float64, on bool) {
-	target := 0.0
+	*share += (float64(bit(on)) - *share) / memory
+}
+
+func bit(on bool) int {
 	if on {
-		target = 1
+		return 1
 	}
-	*share += (target - *share) / memory
+	return 0
 }
 
 // hashOf is FNV-1a, well mixed: the same in every process.
