--- a/logic/logic.go
+++ b/logic/logic.go
@@ -507,7 +507,9 @@
 	case d.Missing:
 		e.heard, e.unheard = now, 0
 	case d.Unreached, d.Broken:
-		l.skip(now, e, d.Second, skipParent)
+		if e.bad++; e.bad >= strikes {
+			l.skip(now, e, d.Second, skipParent)
+		}
 	case d.TurnedAway, d.Failed, d.TimedOut:
 		if out.Ending != d.TimedOut {
 			e.heard, e.unheard = now, 0
