--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,7 +68,6 @@
 	d.Node
 	hash      uint64
 	bad       int      // bad ends in a row
-	signed    d.Micros // when the last of them came
 	skipUntil d.Micros // not used before this
 	skipFor   d.Micros // how long the last skip was
 	trial     bool     // back from a skip: one pull at a time until one ends well
@@ -508,7 +507,7 @@
 	case d.Missing:
 		e.heard, e.unheard = now, 0
 	case d.Unreached, d.Broken:
-		if e.sign(now) >= strikes {
+		if e.bad++; e.bad >= strikes {
 			l.skip(now, e, d.Second, skipParent)
 		}
 	case d.TurnedAway, d.Failed, d.TimedOut:
@@ -522,7 +521,7 @@
 			}
 			return
 		}
-		if e.sign(now) >= strikes && out.Ending != d.TurnedAway {
+		if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
 			l.skip(now, e, d.Second, skipParent)
 		}
 		if s != e && !l.s.SourcesTold {
@@ -572,16 +571,6 @@
 // gateLimit is how many fills may be out: never fewer than the link carries at full pace.
 func (l *Logic) gateLimit() float64 { return max(l.gate.limit, 1, 1.5*l.edges.link/float64(d.Second)) }
 
-// sign counts a bad end and says how many there were in a row. What ends at the same moment is one sign:
-// a connection that breaks takes all its pulls along, and may be the only thing that broke.
-func (n *node) sign(now d.Micros) int {
-	if n.signed != now {
-		n.signed = now
-		n.bad++
-	}
-	return n.bad
-}
-
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
 // answers don't tell whose fault it was, it takes more, and when no other parent is left either the
 // trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
@@ -591,7 +580,7 @@
 	if !l.s.SourcesTold {
 		enough *= strikes
 	}
-	if n.sign(now) < enough {
+	if n.bad++; n.bad < enough {
 		return
 	}
 	usable := func(p *node) bool { return p != n && p.skipUntil <= now }
