--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 	furtherPulls  = 2             // beyond the first, while no overload is seen
 	strikes       = 3             // bad ends in a row that count as a node's failure
 	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
-	budgetPart    = 0.5           // part of a warming node's budget that the directors together use
+	budgetPart    = 0.4           // part of a warming node's budget that the directors together use
 	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
 	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds,
 	fillHeld      = 1             // then let it fill from what the parent holds,
