An edge that turns nine pulls away in a row is skipped

Guards against a cache that turns everything away at once: it kept its hash share, and by itself made the director see overload and stop all further pulls. Could harm an overfull cache for a second, which that relieves.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -521,7 +521,7 @@
 			}
 			return
 		}
-		if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway {
+		if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway || e.bad >= strikes*strikes {
 			l.skip(now, e, d.Second, skipParent)
 		}
 		if s != e && !l.s.SourcesTold {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -277,11 +277,12 @@
 		{"broken", false, d.Broken, d.Untold, 3, true, false},
 		{"broken once", false, d.Broken, d.Untold, 1, false, false},
 		{"one error", false, d.Failed, d.Untold, 1, false, false},
-		{"full, again and again", true, d.TurnedAway, d.Untold, 5, false, false},
+		{"full for a while", true, d.TurnedAway, d.Untold, 8, false, false},
+		{"full, again and again", true, d.TurnedAway, d.Untold, 9, true, false},
 		{"source lost, told", true, d.TurnedAway, d.SourceLost, 3, false, true},
 		{"source lost once", true, d.TurnedAway, d.SourceLost, 1, false, false},
 		{"origin failed behind it", true, d.TurnedAway, d.OriginFailed, 5, false, false},
-		{"refused, not told why", false, d.TurnedAway, d.Untold, 9, false, true},
+		{"refused, not told why", false, d.TurnedAway, d.Untold, 9, true, true},
 		{"refused a few times, not told why", false, d.TurnedAway, d.Untold, 8, false, false},
 	}
 	for _, c := range cases {
@@ -292,13 +293,16 @@
 			objects := b.objects("e1", 40)
 			home, source := b.nodes["e1"], (*node)(nil)
 			for _, object := range objects {
-				if dl, ans := b.ask(object); source == nil || ans.Source == &source.Node {
+				dl, ans := b.ask(object)
+				if source == nil {
 					source = b.nodes[ans.Source.ID]
-					if b.end(dl, ms, c.ending, c.fill); c.times == 1 {
-						break
-					}
-					c.times--
 				}
+				if ans.Source != &source.Node || c.times == 0 {
+					b.end(dl, 0, d.NeverSent, d.Untold)
+					continue
+				}
+				b.end(dl, ms, c.ending, c.fill)
+				c.times--
 			}
 			if (home.skipUntil > b.now) != c.edge || (source.skipUntil > b.now) != c.parent {
 				t.Fatalf("edge until %d, parent until %d, now %d", home.skipUntil, source.skipUntil, b.now)
