--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,6 +68,7 @@
 	d.Node
 	hash      uint64
 	bad       int      // bad ends in a row
+	skipped   d.Micros // when the last skip began
 	skipUntil d.Micros // not used before this
 	skipFor   d.Micros // how long the last skip was
 	trial     bool     // back from a skip: one pull at a time until one ends well
@@ -449,7 +450,7 @@
 	if n.unheard++; n.unheard < strikes {
 		return d.Answer{}
 	}
-	l.skip(now, n, d.Second, skipParent)
+	l.skip(now, n, p, d.Second)
 	p.cancelled = true
 	return d.Answer{Verb: d.Cancel, Pull: len(nt.pulls) - 1}
 }
@@ -502,8 +503,8 @@
 	case d.Missing:
 		e.heard, e.unheard = now, 0
 	case d.Unreached, d.Broken:
-		if e.bad++; e.bad >= strikes {
-			l.skip(now, e, d.Second, skipParent)
+		if e.sign(p) >= strikes {
+			l.skip(now, e, p, d.Second)
 		}
 	case d.TurnedAway, d.Failed, d.TimedOut:
 		if out.Ending != d.TimedOut {
@@ -512,15 +513,15 @@
 		if out.Filling >= d.SourceRefused && out.Filling != d.NoPlace {
 			p.blameless = true
 			if out.Filling == d.SourceRefused || out.Filling == d.SourceLost {
-				s.strike(l, now)
+				s.strike(l, now, p)
 			}
 			return
 		}
-		if e.bad++; e.bad >= strikes && out.Ending != d.TurnedAway || e.bad >= strikes*strikes {
-			l.skip(now, e, d.Second, skipParent)
+		if n := e.sign(p); n >= strikes && out.Ending != d.TurnedAway || n >= strikes*strikes {
+			l.skip(now, e, p, d.Second)
 		}
 		if s != e && !l.s.SourcesTold {
-			s.strike(l, now)
+			s.strike(l, now, p)
 		}
 	}
 }
@@ -555,7 +556,7 @@
 	s.slow += (part - s.slow) / slowMemory
 	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now }
 	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
-		l.skip(now, s, skipParent, skipParent)
+		l.skip(now, s, p, skipParent)
 		s.slow = 0
 	}
 	switch {
@@ -579,31 +580,38 @@
 // answers don't tell whose fault it was, it takes more, and when no other parent is left either the
 // trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
 // up what parents hold while the origin fails. Could harm while all parents are dead but still listed.
-func (n *node) strike(l *Logic, now d.Micros) {
+func (n *node) strike(l *Logic, now d.Micros, p *pull) {
 	enough := strikes
 	if !l.s.SourcesTold {
 		enough *= strikes
 	}
-	if n.bad++; n.bad < enough {
+	if n.sign(p) < enough {
 		return
 	}
-	usable := func(p *node) bool { return p != n && p.skipUntil <= now }
+	usable := func(o *node) bool { return o != n && o.skipUntil <= now }
 	if l.s.SourcesTold || slices.ContainsFunc(l.parents.ready, usable) {
-		l.skip(now, n, skipParent, skipParent)
+		l.skip(now, n, p, skipParent)
 		return
 	}
-	for _, p := range l.parents.ready {
-		p.bad, p.skipUntil, p.trial = 0, 0, false
+	for _, o := range l.parents.ready {
+		o.bad, o.skipUntil, o.trial = 0, 0, false
 	}
 }
 
+// sign counts a bad end and says how many there were in a row. What was sent before the last skip tells
+// nothing new.
+func (n *node) sign(p *pull) int {
+	n.bad += bit(p.sent >= n.skipped)
+	return n.bad
+}
+
 // skip leaves a node alone for a while, twice as long each time, then lets one pull try it.
-func (l *Logic) skip(now d.Micros, n *node, least, most d.Micros) {
-	if n == l.origin || n.skipUntil > now {
+func (l *Logic) skip(now d.Micros, n *node, p *pull, least d.Micros) {
+	if n == l.origin || n.skipUntil > now || p.sent < n.skipped {
 		return
 	}
-	n.skipFor = min(max(least, 2*n.skipFor), most)
-	n.skipUntil, n.trial, n.bad = now+n.skipFor, true, 0
+	n.skipFor = min(max(least, 2*n.skipFor), skipParent)
+	n.skipped, n.skipUntil, n.trial, n.bad = now, now+n.skipFor, true, 0
 }
 
 // room is the part of a limit that a download may use: all of it, or less where it costs more work for
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -320,7 +320,7 @@
 	}
 	t.Run("a restart forgets", func(t *testing.T) {
 		b := newBed(settings(), 1, 1)
-		b.skip(b.now, b.nodes["e0"], d.Second, d.Second)
+		b.skip(b.now, b.nodes["e0"], &pull{sent: b.now}, d.Second)
 		b.list(d.Node{ID: "e0", Zone: 1, Started: 1})
 		if _, ans := b.ask("a"); ans.Verb != d.Pull {
 			t.Errorf("%+v", ans)
