--- a/logic/logic.go
+++ b/logic/logic.go
@@ -437,14 +437,14 @@
 	}
 	nt.looked = now
 	n := p.edge
-	if p.blameless = n.heard > p.sent; p.blameless {
+	if p.blameless = n.heard >= p.sent; p.blameless { // also by the question that went before
 		n = p.source
 		if !p.slow && !p.ask && now >= p.sent+l.target(dl) { // a miss, and late: no need to wait for its end
 			p.slow = true
 			l.filled(now, p, 1/easePart)
 		}
 	}
-	if n.heard > p.sent || n == l.origin {
+	if n.heard >= p.sent || n == l.origin {
 		return d.Answer{}
 	}
 	if n.unheard++; n.unheard < strikes {
@@ -599,9 +599,11 @@
 }
 
 // sign counts a bad end and says how many there were in a row. What was sent before the last skip tells
-// nothing new.
+// nothing new; a trial after it tells enough.
 func (n *node) sign(p *pull) int {
-	n.bad += bit(p.sent >= n.skipped)
+	if n.bad += bit(p.sent >= n.skipped); p.trial == n {
+		n.bad = strikes * strikes
+	}
 	return n.bad
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -332,6 +332,7 @@
 	b := newBed(settings(), 3, 1)
 	objects := b.objects("e1", 4)
 	var dls []*d.Download
+	b.now += ms
 	for _, object := range objects {
 		dl, _ := b.ask(object)
 		dls = append(dls, dl)
@@ -360,6 +361,7 @@
 	var dls []*d.Download
 	source := ""
 	for i := 0; len(dls) < 3; i++ {
+		b.now += ms
 		dl, ans := b.ask(fmt.Sprint(i))
 		if source == "" || ans.Source.ID == source {
 			source, dls = ans.Source.ID, append(dls, dl)
