--- a/logic/logic.go
+++ b/logic/logic.go
@@ -334,6 +334,9 @@
 			p.fill, p.held, p.deep = true, nt.stage == fillHeld, nt.stage == fillAll
 		}
 	}
+	if p.edge != nil && p.edge.trial && !p.fill && !p.straight && !dl.Type.PassThrough {
+		p.ask = true // a question tells soonest whether the node is back
+	}
 	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
 		late := now-dl.Arrived+d.Micros(p.work/easePart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
@@ -501,7 +504,7 @@
 			}
 		}
 	case d.Missing:
-		e.heard, e.unheard = now, 0
+		e.good(now)
 	case d.Unreached, d.Broken:
 		if e.sign(p) >= strikes {
 			l.skip(now, e, p, d.Second)
