--- a/logic/logic.go
+++ b/logic/logic.go
@@ -557,10 +557,10 @@
 	g, s := &l.gate, p.source
 	g.slow += (part - g.slow) / slowMemory
 	s.slow += (part - s.slow) / slowMemory
-	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now }
+	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now && !n.trial }
 	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
 		l.skip(now, s, p, skipParent)
-		s.slow = 0
+		s.slow = easePart
 	}
 	switch {
 	case l.gated == 0 && g.slow > jamPart:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -407,12 +407,14 @@
 	cases := []struct {
 		name    string
 		other   d.Micros // what fills through the other parent take
+		trial   bool     // the other is back from a skip and not yet tried
 		skipped bool
-	}{{"alone", 100 * ms, true}, {"both slow", 900 * ms, false}}
+	}{{"alone", 100 * ms, false, true}, {"both slow", 900 * ms, false, false}, {"the other gone", 0, true, false}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBed(settings(), 2, 2)
 			for i := range 60 {
+				b.nodes["p1"].trial, b.nodes["p1"].trying = c.trial, c.trial
 				if dl, ans := b.ask(fmt.Sprint(i)); ans.Source.ID == "p0" {
 					b.end(dl, 900*ms, d.Fulfilled, d.Filled)
 				} else {
