Fold two defences: a plain running mean of sending times, learned far from limits

The mean that fell at once and rose ever less guarded against the same as learning only at edges far from their limit.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,27 +40,14 @@
 
 // typeRow is what the module keeps for one content type.
 type typeRow struct {
-	work       float64 // mean sending time in µs: told by sizes, else learned from hits
-	sum, count float64 // of the times now being collected
-	rounds     float64 // collected so far
+	work float64 // mean sending time in µs: told by sizes, else what hits took at edges far from their limit
+	seen float64
 }
 
-// learn takes a sending time. Where sizes are not told it is what a hit took, and hits are slow in a jam:
-// each collection may lower the mean at once, but raise it less and less. Guards against a limit that
-// widens because the jam it should end is taken for long downloads.
-func (r *typeRow) learn(work float64, told bool) {
-	r.sum, r.count = r.sum+work, r.count+1
-	if r.count < memory && r.rounds > 0 {
-		return
-	}
-	mean := r.sum / r.count
-	if !told && r.rounds > 0 && mean > r.work {
-		mean = r.work + (mean-r.work)/r.rounds
-	}
-	r.work = mean
-	if r.count >= memory {
-		r.sum, r.count, r.rounds = 0, 0, min(r.rounds+1, memory)
-	}
+// learn takes a sending time into the mean.
+func (r *typeRow) learn(work float64) {
+	r.seen = min(r.seen+1, memory)
+	r.work += (work - r.work) / r.seen
 }
 
 // node is one entry of the list, kept until the list says it is gone.
@@ -240,7 +227,7 @@
 		dl.Notes = nt
 		l.cost += (l.work(dl)/max(dl.Type.Benefit, 1e-9) - l.cost) / memory
 		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
-			row.learn(l.work(dl), true)
+			row.learn(l.work(dl))
 		}
 	}
 	if p := nt.last(); p != nil && !p.over {
@@ -494,7 +481,7 @@
 				e.grow()
 			}
 			if dl.SizeKB == 0 && p.light {
-				l.types[dl.Type].learn(float64(took), false)
+				l.types[dl.Type].learn(float64(took))
 			}
 		case d.Filled, d.FilledByOrigin:
 			l.parents.did(now, s, p.work)
