--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	d "tallyproxy/director"
@@ -98,29 +99,25 @@
 	each  float64 // work of one warm node, µs of sending a second, as last known
 }
 
-// did counts work that a node of the tier fulfilled, window by window.
+// did counts work that a node of the tier fulfilled.
 func (t *tier) did(now d.Micros, n *node, work float64) {
 	if warmth(now, n, t.warm) < 1 {
 		return
 	}
 	if t.since == 0 {
-		t.since = now
-	}
-	t.sum += work
-	span := now - t.since
-	if span < max(t.warm.Window, d.Second) {
-		return
+		t.since, t.at = now, now
 	}
+	span := float64(t.warm.Time)
+	t.sum = t.sum*math.Exp(-float64(now-t.at)/span) + work
+	t.at = now
 	warm := 0
 	for _, n := range t.ready {
-		warm += bit(warmth(now, n, t.warm) >= 1)
-	}
-	each := t.sum / float64(span) * float64(d.Second) / float64(max(warm, 1))
-	if t.each == 0 {
-		t.each = each
+		if warmth(now, n, t.warm) >= 1 {
+			warm++
+		}
 	}
-	t.each += (each - t.each) / 4
-	t.sum, t.since = 0, now
+	seen := span * (1 - math.Exp(-float64(now-t.since)/span))
+	t.each = t.sum / max(seen, float64(d.Second)) * float64(d.Second) / float64(max(warm, 1))
 }
 
 // notes are what the module keeps of a download; they go with it.
