--- a/logic/logic.go
+++ b/logic/logic.go
@@ -140,6 +140,7 @@
 	parents tier                        // all ready parents
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
+	hits    float64               // slowMemory, fewer where several directors see a part each
 	cost    float64               // work for a unit of benefit, on average
 	missing float64               // share of pulls that were not hits
 	gate    node                  // for fills, while they are jammed: how many may be out
@@ -164,6 +165,7 @@
 		l.edges.link = s.LinkKB / s.PaceKB * float64(d.Second) / float64(max(1, s.Instances))
 		l.parents.link = l.edges.link
 	}
+	l.hits = max(4, slowMemory/float64(max(1, s.Instances)))
 	for _, t := range s.Types {
 		l.types[t] = &typeRow{work: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
@@ -475,7 +477,7 @@
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		switch out.Filling {
 		case d.Hit:
-			if e.slow += (part - e.slow) / slowMemory; e.slow > easePart {
+			if e.slow += (part - e.slow) / l.hits; e.slow > easePart {
 				e.cut(now, p)
 			} else if float64(e.out+1) > e.limit*cutTo {
 				e.grow()
@@ -542,8 +544,8 @@
 // answers tell that a source is slow, told here by how long fills through it take.
 func (l *Logic) filled(now d.Micros, p *pull, part float64) {
 	g, s := &l.gate, p.source
-	g.slow += (part - g.slow) / slowMemory
-	s.slow += (part - s.slow) / slowMemory
+	g.slow += (part - g.slow) / l.hits
+	s.slow += (part - s.slow) / l.hits
 	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now && !n.trial }
 	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
 		l.skip(now, s, p, skipParent)
