--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
-	slowMemory    = 16            // hits over which an edge's slowness looks back, about
+	slowMemory    = 8             // hits over which an edge's slowness looks back, about
 )
 
 // typeRow is what the module keeps for one content type.
