--- a/logic/logic.go
+++ b/logic/logic.go
@@ -545,7 +545,7 @@
 func (l *Logic) filled(now d.Micros, p *pull, part float64) {
 	g, s := &l.gate, p.source
 	g.slow += (part - g.slow) / l.hits
-	s.slow += (part - s.slow) / l.hits
+	s.slow += (part - s.slow) / (2 * slowMemory) // skipping a parent costs more than a smaller limit
 	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now && !n.trial }
 	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
 		l.skip(now, s, p, skipParent)
