--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	fillHeld      = 1             // then let it fill from what the parent holds,
 	fillAll       = 2             // then from the origin too
 	memory        = 100           // pulls over which running means look back, about
-	easePart      = 0.6           // hits should take this part of their target time at the most
+	easePart      = 0.5           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
