--- a/logic/logic.go
+++ b/logic/logic.go
@@ -328,7 +328,7 @@
 	}
 	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		late := now-dl.Arrived+d.Micros(p.work) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
+		late := now-dl.Arrived+d.Micros(p.work/easePart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
 		if soon && !dl.Again && !late {
 			return d.Answer{Verb: d.Hold}
 		}
