--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	easePart      = 0.5           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
+	holdPart      = 0.4           // a held download should need no more than this of what time it has left
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
 	slowMemory    = 8             // hits over which an edge's slowness looks back, about
 )
@@ -328,7 +329,7 @@
 	}
 	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		late := now-dl.Arrived+d.Micros(p.work/easePart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
+		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
 		if soon && !dl.Again && !late {
 			return d.Answer{Verb: d.Hold}
 		}
