--- a/logic/logic.go
+++ b/logic/logic.go
@@ -478,11 +478,7 @@
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		switch out.Filling {
 		case d.Hit:
-			over := l.hits
-			if dl.SizeKB == 0 { // the target time is a guess, long downloads look slow
-				over = 2 * slowMemory
-			}
-			if e.slow += (part - e.slow) / over; e.slow > easePart {
+			if e.slow += (part - e.slow) / l.hits; e.slow > easePart {
 				e.cut(now, p)
 			} else if float64(e.out+1) > e.limit*cutTo {
 				e.grow()
