--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	easePart      = 0.5           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
+	firstBar      = 2             // where the bar for fills stands when it begins to act
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
 	slowMemory    = 8             // hits over which an edge's slowness looks back, about
@@ -147,6 +148,7 @@
 	gate    node                  // for fills, while they are jammed: how many may be out
 	deep    int                   // fills at the gate that may reach the origin
 	gated   d.Micros              // when the gate last held one back; 0 while it is open
+	bar     float64               // while it is not: a fill may cost this multiple of the average
 	trouble float64               // share of pulls turned away or late
 }
 
@@ -308,8 +310,9 @@
 		} else if warmth(now, p.edge, l.s.Edge) < 1 {
 			nt.stage = max(nt.stage, fillHeld)
 		}
-		limit := l.gateLimit() * room
-		full := float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
+		limit := l.gateLimit()
+		dear := l.cost*l.bar < l.work(dl)/max(dl.Type.Benefit, 1e-9)
+		full := dear || float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
 		if full && nt.stage != askEdge && l.gated > 0 {
 			l.gated = now
 		}
@@ -318,6 +321,8 @@
 			p.ask = true
 		case full && dl.Type.Grace > 0 && !nt.stale && !p.straight:
 			p.ask, stale, nt.stale = true, true, true
+		case dear:
+			return l.giveUp(dl, nt)
 		case full:
 			p.edge = nil
 		default:
@@ -554,20 +559,20 @@
 	}
 	switch {
 	case l.gated == 0 && g.slow > jamPart:
-		l.gated, g.cutAt = now, now
-		for _, n := range l.edges.ready {
-			g.limit += float64(n.out) * l.missing / 2
-		}
-	case l.gated > 0 && g.slow > easePart:
-		g.cut(now, p)
-	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
-		g.limit += 1 / g.limit
+		l.gated, g.cutAt, l.bar = now, now, firstBar
+	case l.gated > 0 && g.slow > easePart && p.sent >= g.cutAt:
+		l.bar, g.cutAt = l.bar*cutTo, now
+	case l.gated > 0 && g.slow <= easePart:
+		l.bar = min(l.bar*(1+1./memory), firstBar*firstBar)
 	}
-	g.limit = l.gateLimit()
 }
 
-// gateLimit is how many fills may be out: never fewer than the link carries at full pace.
-func (l *Logic) gateLimit() float64 { return max(l.gate.limit, 1, 1.5*l.edges.link/float64(d.Second)) }
+// gateLimit is how many fills may be out: this director's part of what the link carries at full pace, with
+// room for chance, which weighs more the smaller the part.
+func (l *Logic) gateLimit() float64 {
+	part := l.edges.link / float64(d.Second)
+	return max(1, part+2*math.Sqrt(part))
+}
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
 // answers don't tell whose fault it was, it takes more, and when no other parent is left either the
