Gate: least room by the root of its part, and less of it the more a fill costs

Cause: at full size a director has two fills' part of a location's link; a gate of that width holds back by chance alone, and dear fills took the places of several cheap ones. The mean cost starts with the first download. Should help whatever fills the links; could harm a content type whose downloads are all long.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,22 +34,17 @@
 	easePart      = 0.5           // hits should take this part of their target time at the most
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	cutTo         = 0.85          // what a limit is cut to when hits are slow
-	firstBar      = 2             // where the bar for fills stands when it begins to act
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
 	jamPart       = 0.9           // fills that take more of their target times on average are jammed
 	slowMemory    = 8             // hits over which an edge's slowness looks back, about
 )
 
-// typeRow is what the module keeps for one content type.
-type typeRow struct {
-	work float64 // mean sending time in µs: told by sizes, else what hits took at edges far from their limit
-	seen float64
-}
+// mean is a running mean that starts with what it sees first.
+type mean struct{ value, seen float64 }
 
-// learn takes a sending time into the mean.
-func (r *typeRow) learn(work float64) {
-	r.seen = min(r.seen+1, memory)
-	r.work += (work - r.work) / r.seen
+func (m *mean) learn(value float64) {
+	m.seen = min(m.seen+1, memory)
+	m.value += (value - m.value) / m.seen
 }
 
 // node is one entry of the list, kept until the list says it is gone.
@@ -136,19 +131,18 @@
 // Logic is one instance.
 type Logic struct {
 	s       d.Settings
-	types   map[*d.ContentType]*typeRow // a row a type, never more
-	nodes   map[string]*node            // emptied by the list
-	edges   tier                        // the location's ready caches
-	parents tier                        // all ready parents
+	works   map[*d.ContentType]*mean // sending time, µs; a row a type: told by sizes, else learned from hits
+	nodes   map[string]*node         // emptied by the list
+	edges   tier                     // the location's ready caches
+	parents tier                     // all ready parents
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
 	hits    float64               // slowMemory, fewer where several directors see a part each
-	cost    float64               // work for a unit of benefit, on average
+	costs   mean                  // of downloads
 	missing float64               // share of pulls that were not hits
 	gate    node                  // for fills, while they are jammed: how many may be out
 	deep    int                   // fills at the gate that may reach the origin
 	gated   d.Micros              // when the gate last held one back; 0 while it is open
-	bar     float64               // while it is not: a fill may cost this multiple of the average
 	trouble float64               // share of pulls turned away or late
 }
 
@@ -160,7 +154,7 @@
 // New makes an instance.
 func New(s d.Settings) *Logic {
 	l := &Logic{
-		s: s, types: map[*d.ContentType]*typeRow{}, nodes: map[string]*node{},
+		s: s, works: map[*d.ContentType]*mean{}, nodes: map[string]*node{},
 		purges: map[purgeKey]d.Micros{}, missing: 0.5,
 	}
 	l.edges.warm, l.parents.warm = s.Edge, s.Parent
@@ -170,7 +164,7 @@
 	}
 	l.hits = max(4, slowMemory/float64(max(1, s.Instances)))
 	for _, t := range s.Types {
-		l.types[t] = &typeRow{work: float64(t.TargetTime) / (1 + t.Stretch)}
+		l.works[t] = &mean{value: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
 	return l
 }
@@ -230,8 +224,8 @@
 	if nt == nil {
 		nt = &notes{hash: mix(hashOf(dl.Object) + uint64(dl.Part))} // each part is kept and filled on its own
 		dl.Notes = nt
-		l.cost += (l.work(dl)/max(dl.Type.Benefit, 1e-9) - l.cost) / memory
-		if row := l.types[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
+		l.costs.learn(l.cost(dl))
+		if row := l.works[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
 			row.learn(l.work(dl))
 		}
 	}
@@ -295,13 +289,13 @@
 		return l.giveUp(dl, nt)
 	}
 	p := &pull{sent: now, work: l.work(dl)}
-	mean, room, stale := l.types[dl.Type].work, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
+	load, room, stale := l.works[dl.Type].value, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
-	p.edge = l.pick(now, &l.edges, nt, mean, func(n *node) bool {
-		return float64(n.out) < n.limit*room && allowed(n)
+	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
+		return float64(n.out) < n.limit*(1+room)/2 && allowed(n)
 	})
-	if p.edge == nil && l.s.Direct && l.pick(now, &l.edges, nt, mean, allowed) == nil {
-		p.edge = l.pick(now, &l.parents, nt, mean, allowed) // no cache here can take it, full or not
+	if p.edge == nil && l.s.Direct && l.pick(now, &l.edges, nt, load, allowed) == nil {
+		p.edge = l.pick(now, &l.parents, nt, load, allowed) // no cache here can take it, full or not
 		p.straight = p.edge != nil
 	}
 	if p.edge != nil && (p.straight || l.gated > 0 && !dl.Type.PassThrough) {
@@ -310,9 +304,8 @@
 		} else if warmth(now, p.edge, l.s.Edge) < 1 {
 			nt.stage = max(nt.stage, fillHeld)
 		}
-		limit := l.gateLimit()
-		dear := l.cost*l.bar < l.work(dl)/max(dl.Type.Benefit, 1e-9)
-		full := dear || float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
+		limit := l.gateLimit() * room
+		full := float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
 		if full && nt.stage != askEdge && l.gated > 0 {
 			l.gated = now
 		}
@@ -321,8 +314,6 @@
 			p.ask = true
 		case full && dl.Type.Grace > 0 && !nt.stale && !p.straight:
 			p.ask, stale, nt.stale = true, true, true
-		case dear:
-			return l.giveUp(dl, nt)
 		case full:
 			p.edge = nil
 		default:
@@ -351,9 +342,9 @@
 		p.source = l.origin
 	case !p.ask:
 		if !p.fill && warmth(now, p.edge, l.s.Edge) >= 1 {
-			mean *= l.missing
+			load *= l.missing
 		}
-		p.source = l.pick(now, &l.parents, nt, mean, func(n *node) bool { return !nt.failed(n) })
+		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil {
 			p.source, ans.Held = l.origin, false
 		}
@@ -361,7 +352,7 @@
 	if p.source == nil {
 		p.source = p.edge
 	}
-	l.send(now, nt, p, mean)
+	l.send(now, nt, p, load)
 	ans.Node, ans.Source = &p.edge.Node, &p.source.Node
 	return ans
 }
@@ -489,7 +480,7 @@
 				e.grow()
 			}
 			if dl.SizeKB == 0 && p.light {
-				l.types[dl.Type].learn(float64(took))
+				l.works[dl.Type].learn(float64(took))
 			}
 		case d.Filled, d.FilledByOrigin:
 			l.parents.did(now, s, p.work)
@@ -559,19 +550,23 @@
 	}
 	switch {
 	case l.gated == 0 && g.slow > jamPart:
-		l.gated, g.cutAt, l.bar = now, now, firstBar
-	case l.gated > 0 && g.slow > easePart && p.sent >= g.cutAt:
-		l.bar, g.cutAt = l.bar*cutTo, now
-	case l.gated > 0 && g.slow <= easePart:
-		l.bar = min(l.bar*(1+1./memory), firstBar*firstBar)
+		l.gated, g.cutAt = now, now
+		for _, n := range l.edges.ready {
+			g.limit += float64(n.out) * l.missing / 2
+		}
+	case l.gated > 0 && g.slow > easePart:
+		g.cut(now, p)
+	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
+		g.limit += 1 / g.limit
 	}
+	g.limit = l.gateLimit()
 }
 
-// gateLimit is how many fills may be out: this director's part of what the link carries at full pace, with
-// room for chance, which weighs more the smaller the part.
+// gateLimit is how many fills may be out: never fewer than this director's part of what the link carries at full
+// pace, with room for chance, which weighs more the smaller the part.
 func (l *Logic) gateLimit() float64 {
 	part := l.edges.link / float64(d.Second)
-	return max(1, part+2*math.Sqrt(part))
+	return max(l.gate.limit, 1, part+2*math.Sqrt(part))
 }
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
@@ -614,13 +609,13 @@
 	n.skipped, n.skipUntil, n.trial, n.bad = now, now+n.skipFor, true, 0
 }
 
-// room is the part of a limit that a download may use: all of it, or less where it costs more work for
-// its benefit than most. Guards against a few long downloads that make many short ones late; acts only
-// where limits are reached. Could harm a content type whose downloads are all long.
-func (l *Logic) room(dl *d.Download) float64 {
-	cost := l.work(dl) / max(dl.Type.Benefit, 1e-9)
-	return (1 + min(1, l.cost/max(cost, 1))) / 2
-}
+// room is the part of the gate that a download may use: all of it, or the less the more work it costs for its
+// benefit than most; of an edge's limit no less than half. Guards against a few long downloads that make many
+// short ones late; acts only where limits are reached. Could harm a content type whose downloads are all long.
+func (l *Logic) room(dl *d.Download) float64 { return min(1, l.costs.value/l.cost(dl)) }
+
+// cost is a download's sending time for a unit of its benefit.
+func (l *Logic) cost(dl *d.Download) float64 { return max(1, l.work(dl)) / max(dl.Type.Benefit, 1e-9) }
 
 // giveUp ends a download at once: with a throttling reply where a new try is harmless, else abandoned.
 func (l *Logic) giveUp(dl *d.Download, nt *notes) d.Answer {
@@ -666,7 +661,7 @@
 	if dl.SizeKB > 0 && l.s.PaceKB > 0 {
 		return dl.SizeKB / l.s.PaceKB * float64(d.Second)
 	}
-	return l.types[dl.Type].work
+	return l.works[dl.Type].value
 }
 
 // target is the time within which a download earns its full benefit.
