A cache that took no connections is asked first, and taken for warming when it lacks the object

One refused connection is enough to ask first; three in a row are seldom seen by one of eight directors. Should help any restart the list is late with, and crashes; could harm where connections fail for another reason, until a hit clears it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,6 +51,8 @@
 type node struct {
 	d.Node
 	hash      uint64
+	since     d.Micros // its start, as far as known; 0 for long ago
+	down      d.Micros // when it was last found not to take connections; 0 once it is known what came of it
 	bad       int      // bad ends in a row
 	skipped   d.Micros // when the last skip began
 	skipUntil d.Micros // not used before this
@@ -183,7 +185,7 @@
 		}
 		n := old[row.ID]
 		if n == nil || n.Started != row.Started {
-			n = &node{hash: hashOf(row.ID), heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
+			n = &node{hash: hashOf(row.ID), since: row.Started, heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
 		}
 		n.Node, l.nodes[row.ID] = row, n
 	}
@@ -398,8 +400,8 @@
 
 // warmth is the share of its capacity that a node can do at the least.
 func warmth(now d.Micros, n *node, w d.Warming) float64 {
-	age := now - n.Started
-	if n.Started == 0 || age >= w.Time {
+	age := now - n.since
+	if n.since == 0 || age >= w.Time {
 		return 1
 	}
 	return w.From + (1-w.From)*float64(max(0, age))/float64(w.Time)
@@ -464,7 +466,7 @@
 		out.Ending == d.Fulfilled && took > target)
 	switch out.Ending {
 	case d.Fulfilled:
-		e.good(now)
+		e.good(now, p, out.Filling == d.Hit || out.Filling == d.Stale)
 		part := float64(took) / float64(target)
 		if p.straight {
 			l.parents.did(now, e, p.work)
@@ -484,14 +486,17 @@
 			}
 		case d.Filled, d.FilledByOrigin:
 			l.parents.did(now, s, p.work)
-			s.good(now)
+			s.good(now, p, true)
 			if !p.slow {
 				l.filled(now, p, part)
 			}
 		}
 	case d.Missing:
-		e.good(now)
+		e.good(now, p, false)
 	case d.Unreached, d.Broken:
+		if out.Ending == d.Unreached && e.State == d.Ready {
+			e.down, e.trial = now, true
+		}
 		if e.sign(p) >= strikes {
 			l.skip(now, e, p, d.Second)
 		}
@@ -515,8 +520,16 @@
 	}
 }
 
-// good clears a node of what was held against it.
-func (n *node) good(now d.Micros) {
+// good clears a node of what was held against it. One that did not take connections may have started anew since,
+// cold, before the list tells: unless it still holds what it is asked for, it is warming from now on. Guards
+// against pushing over what restarts at once in numbers; the questions of a trial tell soonest. Could harm where
+// connections fail for another reason, until a hit.
+func (n *node) good(now d.Micros, p *pull, holds bool) {
+	if n.down > 0 && holds {
+		n.down = 0
+	} else if n.down > 0 && p.sent >= n.down {
+		n.down, n.since = 0, now
+	}
 	n.heard, n.unheard, n.bad, n.trial, n.skipFor = now, 0, 0, false, 0
 }
 
