One kind of limit for edges, the gate and the origin, moved by each pull's end

Cause: at full size a director sees one or two pulls a second at an edge and one fill in three seconds at a parent. Limits that could not fall below one pull let eight or more directors keep a slow edge four to ten times over its capacity while others of the location idled, and running means over eight pulls came seconds late. Nothing bounded what reached the origin. Now each slow pull cuts a limit, each quick one raises it while it is in use; below one it is the part of the objects, by hash, that may go. The origin's limit halves by each late or refused fill that may have reached it; such fills leave the gate's alone. Should help wherever many directors share a resource of which each sees little; could harm where a few slow pulls have another cause.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,12 +31,16 @@
 	fillHeld      = 1             // then let it fill from what the parent holds,
 	fillAll       = 2             // then from the origin too
 	memory        = 100           // pulls over which running means look back, about
-	easePart      = 0.5           // hits should take this part of their target time at the most
+	slowPart      = 0.75          // a hit that takes more of its target time is slow
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
-	cutTo         = 0.85          // what a limit is cut to when hits are slow
+	leastLimit    = 0.1           // what limits fall to at the least
+	cutTo         = 0.7           // what a limit is cut to by a slow pull,
+	deepCutTo     = 0.5           // the origin's by a late fill
+	lateFill      = 2             // what a fill counts for, in target times, that was late or refused
+	growBy        = 0.25          // what a limit gains by a pull that took no time
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
-	jamPart       = 0.9           // fills that take more of their target times on average are jammed
-	slowMemory    = 8             // hits over which an edge's slowness looks back, about
+	jamPart       = 0.9           // a parent whose fills take more of their target times on average is slow
+	slowMemory    = 16            // fills over which that looks back, about
 )
 
 // mean is a running mean that starts with what it sees first.
@@ -61,14 +65,35 @@
 	trying    bool     // that pull is out
 	heard     d.Micros // when the last answer came
 	unheard   int      // pulls found unanswered since then
-	out       int      // pulls out
-	limit     float64  // how many may be out
-	cutAt     d.Micros // when the limit was last cut
-	slow      float64  // what hits take of their target times, lately
+	limit     limit    // for pulls to it
+	slow      float64  // what fills through it take of their target times, lately
 	level     float64  // cold work sent and not yet drained from the budget
 	drained   d.Micros
 }
 
+// limit says how many pulls may be out somewhere. One that is slow cuts it, once for all that were out
+// together; one that is quick raises it while it is in use. So it settles where few are slow, however little
+// a director sees. Below one pull it is the part of the objects that may go, by a hash that all share.
+type limit struct {
+	most  float64
+	out   int
+	cutAt d.Micros
+}
+
+// lets says whether one more may go out that may use a part of the limit.
+func (m *limit) lets(part, object float64) bool {
+	return float64(m.out) < max(1, m.most)*part && object < m.most
+}
+
+// ended takes a pull that took a part of its target time; slow is the part that is too much.
+func (m *limit) ended(now d.Micros, p *pull, part, slow, cutTo float64) {
+	if part > slow && p.sent >= m.cutAt {
+		m.most, m.cutAt = max(leastLimit, m.most*cutTo), now
+	} else if part <= slow && float64(m.out+1) > m.most*cutTo {
+		m.most += growBy * (1 - part/slow)
+	}
+}
+
 // pull is one try of a download.
 type pull struct {
 	edge, source *node
@@ -139,12 +164,13 @@
 	parents tier                     // all ready parents
 	origin  *node
 	purges  map[purgeKey]d.Micros // when; emptied once no older copy can be left
-	hits    float64               // slowMemory, fewer where several directors see a part each
 	costs   mean                  // of downloads
 	missing float64               // share of pulls that were not hits
-	gate    node                  // for fills, while they are jammed: how many may be out
-	deep    int                   // fills at the gate that may reach the origin
-	gated   d.Micros              // when the gate last held one back; 0 while it is open
+	jam     float64               // part of target times that fills take, lately
+	jamSeen float64               // over how many fills, about: fewer where several directors see a part each
+	gate    limit                 // for fills, while they are jammed
+	deep    limit                 // for those of them that may reach the origin
+	gated   d.Micros              // when a fill was last late, or held back by the gate; 0 while it is open
 	trouble float64               // share of pulls turned away or late
 }
 
@@ -164,7 +190,10 @@
 		l.edges.link = s.LinkKB / s.PaceKB * float64(d.Second) / float64(max(1, s.Instances))
 		l.parents.link = l.edges.link
 	}
-	l.hits = max(4, slowMemory/float64(max(1, s.Instances)))
+	part := l.edges.link / float64(d.Second)
+	l.jamSeen = max(4, firstLimit/float64(max(1, s.Instances)))
+	l.gate.most = max(1, part+2*math.Sqrt(part)) // its part of the link, with room for chance
+	l.deep.most = l.gate.most
 	for _, t := range s.Types {
 		l.works[t] = &mean{value: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
@@ -185,7 +214,8 @@
 		}
 		n := old[row.ID]
 		if n == nil || n.Started != row.Started {
-			n = &node{hash: hashOf(row.ID), since: row.Started, heard: now, limit: max(2, firstLimit/float64(max(1, l.s.Instances)))}
+			n = &node{hash: hashOf(row.ID), since: row.Started, heard: now}
+			n.limit.most = max(2, firstLimit/float64(max(1, l.s.Instances)))
 		}
 		n.Node, l.nodes[row.ID] = row, n
 	}
@@ -294,7 +324,7 @@
 	load, room, stale := l.works[dl.Type].value, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
 	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
-		return float64(n.out) < n.limit*(1+room)/2 && allowed(n)
+		return n.limit.lets((1+room)/2, unit(mix(nt.hash^n.hash))) && allowed(n)
 	})
 	if p.edge == nil && l.s.Direct && l.pick(now, &l.edges, nt, load, allowed) == nil {
 		p.edge = l.pick(now, &l.parents, nt, load, allowed) // no cache here can take it, full or not
@@ -306,8 +336,7 @@
 		} else if warmth(now, p.edge, l.s.Edge) < 1 {
 			nt.stage = max(nt.stage, fillHeld)
 		}
-		limit := l.gateLimit() * room
-		full := float64(l.gate.out) >= limit || nt.stage == fillAll && float64(l.deep) >= limit/2
+		full := !l.gate.lets(room, 0) || nt.stage == fillAll && !l.deep.lets(1, unit(nt.hash))
 		if full && nt.stage != askEdge && l.gated > 0 {
 			l.gated = now
 		}
@@ -368,10 +397,10 @@
 		n.level += load
 	}
 	l.gate.out += bit(p.fill)
-	l.deep += bit(p.deep)
+	l.deep.out += bit(p.deep)
 	nt.tries += bit(!p.ask && !p.held)
-	p.light = float64(p.edge.out) < p.edge.limit/2
-	p.edge.out++
+	p.light = float64(p.edge.limit.out) < p.edge.limit.most/2
+	p.edge.limit.out++
 	nt.pulls, nt.looked = append(nt.pulls, p), now
 }
 
@@ -390,7 +419,7 @@
 		if best != nil && h < bestHash || !allowed(n) || n.skipUntil > now || n.trial && n.trying {
 			continue
 		}
-		if w := warmth(now, n, t.warm); w < 1 && (float64(mix(h)>>11)/(1<<53) > w || !t.fits(now, n, work)) {
+		if w := warmth(now, n, t.warm); w < 1 && (unit(h) > w || !t.fits(now, n, work)) {
 			continue
 		}
 		best, bestHash = n, h
@@ -432,7 +461,7 @@
 		n = p.source
 		if !p.slow && !p.ask && now >= p.sent+l.target(dl) { // a miss, and late: no need to wait for its end
 			p.slow = true
-			l.filled(now, p, 1/easePart)
+			l.filled(now, p, lateFill, p.deep)
 		}
 	}
 	if n.heard >= p.sent || n == l.origin {
@@ -453,9 +482,9 @@
 // learn takes a pull's end into what is known of its nodes.
 func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
 	e, s, took, target := p.edge, p.source, now-p.sent, l.target(dl)
-	e.out--
+	e.limit.out--
 	l.gate.out -= bit(p.fill)
-	l.deep -= bit(p.deep)
+	l.deep.out -= bit(p.deep)
 	if l.gated > 0 && l.gated+skipParent < now {
 		l.gated = 0
 	}
@@ -468,19 +497,15 @@
 	case d.Fulfilled:
 		e.good(now, p, out.Filling == d.Hit || out.Filling == d.Stale)
 		part := float64(took) / float64(target)
+		tier := &l.edges
 		if p.straight {
-			l.parents.did(now, e, p.work)
-		} else {
-			l.edges.did(now, e, p.work)
+			tier = &l.parents
 		}
+		tier.did(now, e, p.work)
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		switch out.Filling {
 		case d.Hit:
-			if e.slow += (part - e.slow) / l.hits; e.slow > easePart {
-				e.cut(now, p)
-			} else if float64(e.out+1) > e.limit*cutTo {
-				e.grow()
-			}
+			e.limit.ended(now, p, part, slowPart, cutTo)
 			if dl.SizeKB == 0 && p.light {
 				l.works[dl.Type].learn(float64(took))
 			}
@@ -488,7 +513,7 @@
 			l.parents.did(now, s, p.work)
 			s.good(now, p, true)
 			if !p.slow {
-				l.filled(now, p, part)
+				l.filled(now, p, part, p.deep || out.Filling == d.FilledByOrigin)
 			}
 		}
 	case d.Missing:
@@ -501,6 +526,9 @@
 			l.skip(now, e, p, d.Second)
 		}
 	case d.TurnedAway, d.Failed, d.TimedOut:
+		if s != e && out.Filling != d.NoPlace && !p.slow {
+			l.filled(now, p, lateFill, p.deep)
+		}
 		if out.Ending != d.TimedOut {
 			e.heard, e.unheard = now, 0
 		}
@@ -520,10 +548,10 @@
 	}
 }
 
-// good clears a node of what was held against it. One that did not take connections may have started anew since,
-// cold, before the list tells: unless it still holds what it is asked for, it is warming from now on. Guards
-// against pushing over what restarts at once in numbers; the questions of a trial tell soonest. Could harm where
-// connections fail for another reason, until a hit.
+// good clears a node of what was held against it. One that did not take connections may have started anew,
+// cold, before the list tells: unless it still holds what it is asked for, it is warming from now on.
+// Guards against pushing over what restarts in numbers. Could harm where connections fail for another
+// reason, until a hit.
 func (n *node) good(now d.Micros, p *pull, holds bool) {
 	if n.down > 0 && holds {
 		n.down = 0
@@ -533,53 +561,29 @@
 	n.heard, n.unheard, n.bad, n.trial, n.skipFor = now, 0, 0, false, 0
 }
 
-// grow raises a limit, the faster the farther answers are from being slow. Guards against a limit that
-// was right until a director's neighbour went down, or a cache beside this one. Could overshoot where
-// answers turn slow all at once.
-func (n *node) grow() { n.limit += max(1/n.limit, (1-n.slow/easePart)/4) }
-
-// cut lowers an edge's limit, once for all pulls that were out together.
-func (n *node) cut(now d.Micros, p *pull) {
-	if p.sent >= n.cutAt {
-		n.limit, n.cutAt = max(1, n.limit*cutTo), now
-	}
-}
-
 // filled watches how fast fills are. Once they are jammed the home is asked first for what it holds, and
-// misses pass a gate that lets through as many as come in time. Guards against a location's link, a
-// parent or the origin jammed by fills that all end late, are dropped and must be made again; helps
-// whatever made them slow. Could harm where few are slow for long: then misses wait that need not.
+// misses pass the gate's limit; those that may reach the origin pass its own. Guards against a location's
+// link or the origin jammed by fills that all end late, are dropped and must be made again; helps whatever
+// made them slow. Could harm where few are slow for long: then misses wait that need not.
 //
 // A parent whose fills are late, and twice as slow as another's, is skipped: the design page's skip where
 // answers tell that a source is slow, told here by how long fills through it take.
-func (l *Logic) filled(now d.Micros, p *pull, part float64) {
-	g, s := &l.gate, p.source
-	g.slow += (part - g.slow) / l.hits
-	s.slow += (part - s.slow) / (2 * slowMemory) // skipping a parent costs more than a smaller limit
+func (l *Logic) filled(now d.Micros, p *pull, part float64, deep bool) {
+	if l.jam += (part - l.jam) / l.jamSeen; l.jam > jamPart {
+		l.gated = now
+	}
+	if deep {
+		l.deep.ended(now, p, part, 1, deepCutTo)
+	} else {
+		l.gate.ended(now, p, part, 1, cutTo)
+	}
+	s := p.source
+	s.slow += (part - s.slow) / slowMemory
 	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now && !n.trial }
 	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
 		l.skip(now, s, p, skipParent)
-		s.slow = easePart
-	}
-	switch {
-	case l.gated == 0 && g.slow > jamPart:
-		l.gated, g.cutAt = now, now
-		for _, n := range l.edges.ready {
-			g.limit += float64(n.out) * l.missing / 2
-		}
-	case l.gated > 0 && g.slow > easePart:
-		g.cut(now, p)
-	case l.gated > 0 && float64(g.out+1) > g.limit*cutTo:
-		g.limit += 1 / g.limit
+		s.slow = jamPart / 2
 	}
-	g.limit = l.gateLimit()
-}
-
-// gateLimit is how many fills may be out: never fewer than this director's part of what the link carries at full
-// pace, with room for chance, which weighs more the smaller the part.
-func (l *Logic) gateLimit() float64 {
-	part := l.edges.link / float64(d.Second)
-	return max(l.gate.limit, 1, part+2*math.Sqrt(part))
 }
 
 // strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
@@ -587,11 +591,7 @@
 // trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
 // up what parents hold while the origin fails. Could harm while all parents are dead but still listed.
 func (n *node) strike(l *Logic, now d.Micros, p *pull) {
-	enough := strikes
-	if !l.s.SourcesTold {
-		enough *= strikes
-	}
-	if n.sign(p) < enough {
+	if bad := n.sign(p); bad < strikes || bad < strikes*strikes && !l.s.SourcesTold {
 		return
 	}
 	usable := func(o *node) bool { return o != n && o.skipUntil <= now }
@@ -622,9 +622,9 @@
 	n.skipped, n.skipUntil, n.trial, n.bad = now, now+n.skipFor, true, 0
 }
 
-// room is the part of the gate that a download may use: all of it, or the less the more work it costs for its
-// benefit than most; of an edge's limit no less than half. Guards against a few long downloads that make many
-// short ones late; acts only where limits are reached. Could harm a content type whose downloads are all long.
+// room is the part of the gate that a download may use: all of it, or the less the more work it costs for
+// its benefit than most; of an edge's limit no less than half. Guards against a few long downloads that make
+// many short ones late; acts only where limits are reached. Could harm a content type that is all long.
 func (l *Logic) room(dl *d.Download) float64 { return min(1, l.costs.value/l.cost(dl)) }
 
 // cost is a download's sending time for a unit of its benefit.
@@ -720,6 +720,9 @@
 	return mix(h)
 }
 
+// unit is a hash as a number from 0 to 1.
+func unit(h uint64) float64 { return float64(mix(h)>>11) / (1 << 53) }
+
 // mix is the finisher of splitmix64.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -281,6 +281,7 @@
 			s := settings()
 			s.SourcesTold, s.MostPulls = c.told, 1
 			b := newBed(s, 3, 2)
+			b.jamSeen = 1e9 // the gate stays open
 			objects := b.objects("e1", 40)
 			home, source := b.nodes["e1"], (*node)(nil)
 			for _, object := range objects {
@@ -425,6 +426,7 @@
 			s := settings()
 			s.SourcesTold, s.MostPulls = told, 1
 			b := newBed(s, 2, 2)
+			b.jamSeen = 1e9
 			for i := range 60 {
 				if dl, ans := b.ask(fmt.Sprint(i)); ans.Source.ID != "o" {
 					b.end(dl, ms, d.TurnedAway, d.SourceLost)
@@ -491,7 +493,7 @@
 			if ans.Source.ID != "o" || b.gate.out != 1 {
 				t.Errorf("%+v, %d at the gate", ans, b.gate.out)
 			}
-			b.edges.link = 0
+			b.gate.most = 1
 			if _, ans := b.ask("b"); ans.Verb != d.Hold {
 				t.Errorf("past what the link carries: %+v", ans)
 			}
@@ -523,8 +525,8 @@
 					b.end(dl, 0, d.Fulfilled, d.Hit)
 				}
 			}
-			if n := b.nodes["e0"]; (n.limit < firstLimit) != c.less || n.out != 0 {
-				t.Errorf("limit %.1f, %d out", n.limit, n.out)
+			if n := b.nodes["e0"]; (n.limit.most < firstLimit) != c.less || n.limit.out != 0 {
+				t.Errorf("limit %.1f, %d out", n.limit.most, n.limit.out)
 			}
 		})
 	}
@@ -547,7 +549,7 @@
 	if fill := b.end(dl, ms, d.Missing, d.Untold); fill.Verb != d.Pull || fill.Source.ID != "p0" || fill.Held {
 		t.Fatalf("a miss there too: %+v", fill)
 	}
-	b.gate.limit, b.edges.link = 1, 0
+	b.gate.most = 1
 	other, _ := b.ask("b")
 	if ans := b.end(other, ms, d.Missing, d.Untold); ans.Verb != d.Hold {
 		t.Errorf("a miss before a full gate: %+v", ans)
@@ -556,8 +558,8 @@
 	if ans := b.Where(b.now, other); ans.Verb != d.Pull || !ans.Held {
 		t.Errorf("once there is room: %+v", ans)
 	}
-	if b.gate.limit = 4; b.deep != 0 || b.gate.out != 1 {
-		t.Errorf("%d at the gate, %d of them deep", b.gate.out, b.deep)
+	if b.gate.most, b.deep.most = 4, 2; b.deep.out != 0 || b.gate.out != 1 {
+		t.Errorf("%d at the gate, %d of them deep", b.gate.out, b.deep.out)
 	}
 	for i := range 3 {
 		dl, _ := b.ask(fmt.Sprint("c", i))
@@ -566,7 +568,7 @@
 			t.Errorf("fill %d from the origin: %+v", i, ans)
 		}
 	}
-	b.gate.out, b.deep = 1, 0
+	b.gate.out, b.deep.out = 1, 0
 	b.end(other, ms, d.Fulfilled, d.Filled)
 	b.now += 11 * d.Second
 	b.serve(1, ms, d.Hit)
