Gate: only fills behind it move its limit, refusals not counted

Cause: late fills cut the gate's limit while it was open, and nothing raised it: with it in use for the first time it stood at two; refused fills cut it six times in a second.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,7 +97,7 @@
 // pull is one try of a download.
 type pull struct {
 	edge, source *node
-	sent         d.Micros
+	sent, target d.Micros
 	work         float64
 	light        bool // the edge was far from its limit
 	ask          bool // for what the edge holds, no more
@@ -320,7 +320,7 @@
 	if dl.Leaves <= now {
 		return l.giveUp(dl, nt)
 	}
-	p := &pull{sent: now, work: l.work(dl)}
+	p := &pull{sent: now, target: l.target(dl), work: l.work(dl)}
 	load, room, stale := l.works[dl.Type].value, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
 	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
@@ -574,7 +574,8 @@
 	}
 	if deep {
 		l.deep.ended(now, p, part, 1, deepCutTo)
-	} else {
+	}
+	if p.fill && (part <= 1 || !deep && now > p.sent+p.target) { // a refusal says nothing of the link
 		l.gate.ended(now, p, part, 1, cutTo)
 	}
 	s := p.source
