A slow pull takes a part off a limit, one pull at the most; the origin's limit starts lower

Cause: a cut by a factor once a flight is harsh for a director with many pulls out and mild for one with few. Now each slow pull costs 0.3 of a limit (a late fill half of the origin's), never more than one pull. The origin's limit starts at the director's part of the link and does not fall below a fourth of that in whole pulls.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,7 @@
 	strikes       = 3             // bad ends in a row that count as a node's failure
 	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
 	budgetPart    = 0.4           // part of a warming node's budget that the directors together use
-	checkPart     = 0.5           // part of the target time after which an unanswered pull is looked at
+	checks        = 2             // how often within its target time an unanswered pull is looked at
 	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds,
 	fillHeld      = 1             // then let it fill from what the parent holds,
 	fillAll       = 2             // then from the origin too
@@ -34,8 +34,8 @@
 	slowPart      = 0.75          // a hit that takes more of its target time is slow
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
 	leastLimit    = 0.1           // what limits fall to at the least
-	cutTo         = 0.7           // what a limit is cut to by a slow pull,
-	deepCutTo     = 0.5           // the origin's by a late fill
+	cut           = 0.3           // what a slow pull takes off a limit,
+	deepCut       = 0.5           // a late fill off the origin's
 	lateFill      = 2             // what a fill counts for, in target times, that was late or refused
 	growBy        = 0.25          // what a limit gains by a pull that took no time
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
@@ -71,13 +71,12 @@
 	drained   d.Micros
 }
 
-// limit says how many pulls may be out somewhere. One that is slow cuts it, once for all that were out
-// together; one that is quick raises it while it is in use. So it settles where few are slow, however little
-// a director sees. Below one pull it is the part of the objects that may go, by a hash that all share.
+// limit says how many pulls may be out somewhere. A slow one cuts it, a quick one raises it while it is in
+// use, so it settles where few are slow, however little a director sees. Below one pull it is the part of the
+// objects that may go, by a hash that all share.
 type limit struct {
-	most  float64
-	out   int
-	cutAt d.Micros
+	most, least float64
+	out         int
 }
 
 // lets says whether one more may go out that may use a part of the limit.
@@ -85,11 +84,12 @@
 	return float64(m.out) < max(1, m.most)*part && object < m.most
 }
 
-// ended takes a pull that took a part of its target time; slow is the part that is too much.
-func (m *limit) ended(now d.Micros, p *pull, part, slow, cutTo float64) {
-	if part > slow && p.sent >= m.cutAt {
-		m.most, m.cutAt = max(leastLimit, m.most*cutTo), now
-	} else if part <= slow && float64(m.out+1) > m.most*cutTo {
+// ended takes a pull that took a part of its target time: one that took over slow of it costs the part cut of
+// the limit, but never more than one pull.
+func (m *limit) ended(part, slow, cut float64) {
+	if part > slow {
+		m.most = max(leastLimit, m.least, m.most-min(1, m.most*cut))
+	} else if float64(m.out+1) > m.most*(1-cut) {
 		m.most += growBy * (1 - part/slow)
 	}
 }
@@ -193,7 +193,8 @@
 	part := l.edges.link / float64(d.Second)
 	l.jamSeen = max(4, firstLimit/float64(max(1, s.Instances)))
 	l.gate.most = max(1, part+2*math.Sqrt(part)) // its part of the link, with room for chance
-	l.deep.most = l.gate.most
+	l.deep.most = max(1, part)
+	l.deep.least = math.Floor(part / 4)
 	for _, t := range s.Types {
 		l.works[t] = &mean{value: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
@@ -278,7 +279,7 @@
 		if p.cancelled || !l.s.CanCancel || dl.Type.Repeat == d.NonRetriable {
 			return 0
 		}
-		return max(1, nt.looked+l.checkAfter(dl)-now)
+		return max(1, nt.looked+p.target/checks-now)
 	}
 	return max(1, min(l.poll(dl), dl.Leaves-now))
 }
@@ -356,7 +357,7 @@
 	}
 	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= l.target(dl) || now+l.poll(dl) >= dl.Leaves
+		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
 		if soon && !dl.Again && !late {
 			return d.Answer{Verb: d.Hold}
 		}
@@ -452,14 +453,14 @@
 // taken for silent and the download goes elsewhere. Guards against machines that vanish without a reset;
 // helps with any that hang. Could harm where a node's few answers are all long ones.
 func (l *Logic) look(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
-	if p.cancelled || now < nt.looked+l.checkAfter(dl) {
+	if p.cancelled || now < nt.looked+p.target/checks {
 		return d.Answer{}
 	}
 	nt.looked = now
 	n := p.edge
 	if p.blameless = n.heard >= p.sent; p.blameless { // also by the question that went before
 		n = p.source
-		if !p.slow && !p.ask && now >= p.sent+l.target(dl) { // a miss, and late: no need to wait for its end
+		if !p.slow && !p.ask && now >= p.sent+p.target { // a miss, and late: no need to wait for its end
 			p.slow = true
 			l.filled(now, p, lateFill, p.deep)
 		}
@@ -475,13 +476,9 @@
 	return d.Answer{Verb: d.Cancel, Pull: len(nt.pulls) - 1}
 }
 
-func (l *Logic) checkAfter(dl *d.Download) d.Micros {
-	return d.Micros(float64(l.target(dl)) * checkPart)
-}
-
 // learn takes a pull's end into what is known of its nodes.
 func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
-	e, s, took, target := p.edge, p.source, now-p.sent, l.target(dl)
+	e, s, took := p.edge, p.source, now-p.sent
 	e.limit.out--
 	l.gate.out -= bit(p.fill)
 	l.deep.out -= bit(p.deep)
@@ -492,11 +489,11 @@
 		p.trial.trying = false
 	}
 	step(&l.trouble, out.Ending == d.TurnedAway || out.Ending == d.TimedOut ||
-		out.Ending == d.Fulfilled && took > target)
+		out.Ending == d.Fulfilled && took > p.target)
 	switch out.Ending {
 	case d.Fulfilled:
 		e.good(now, p, out.Filling == d.Hit || out.Filling == d.Stale)
-		part := float64(took) / float64(target)
+		part := float64(took) / float64(p.target)
 		tier := &l.edges
 		if p.straight {
 			tier = &l.parents
@@ -505,7 +502,7 @@
 		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		switch out.Filling {
 		case d.Hit:
-			e.limit.ended(now, p, part, slowPart, cutTo)
+			e.limit.ended(part, slowPart, cut)
 			if dl.SizeKB == 0 && p.light {
 				l.works[dl.Type].learn(float64(took))
 			}
@@ -573,10 +570,10 @@
 		l.gated = now
 	}
 	if deep {
-		l.deep.ended(now, p, part, 1, deepCutTo)
+		l.deep.ended(part, 1, deepCut)
 	}
 	if p.fill && (part <= 1 || !deep && now > p.sent+p.target) { // a refusal says nothing of the link
-		l.gate.ended(now, p, part, 1, cutTo)
+		l.gate.ended(part, 1, cut)
 	}
 	s := p.source
 	s.slow += (part - s.slow) / slowMemory
