SIGHUP reloads the configuration, all or nothing, and follows a moved command channel

At fault: cmd/tallyproxy/main.go never asked for SIGHUP, so the runtime's default action ended the process. Now the file is read and checked whole, known events too; only then limits and channel change. The feed leaves its call at the old address at once and asks the new one from the last event on. Listen, name and settings need a restart and say so. Caps on connections and buffers are counters now, so that they can change.

--- a/cmd/tallyproxy/main_test.go
+++ b/cmd/tallyproxy/main_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync"
@@ -72,9 +73,10 @@
 
 // proxy is a whole director under test.
 type proxy struct {
-	addr  string
-	stop  chan os.Signal
-	ended chan error
+	addr         string
+	stop, reload chan os.Signal
+	ended        chan error
+	path         string // of the configuration
 }
 
 func start(t *testing.T, nodes ...*node) *proxy {
@@ -102,9 +104,9 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{l.Addr().String(), make(chan os.Signal, 1), make(chan error, 1)}
+	p := &proxy{l.Addr().String(), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error, 1), path}
 	go func() {
-		p.ended <- run(func(key string) string { return map[string]string{"NODE_CONFIG": path}[key] }, p.stop)
+		p.ended <- run(func(key string) string { return map[string]string{"NODE_CONFIG": path}[key] }, p.stop, p.reload)
 	}()
 	c := p.dial(t)
 	c.send("STATUS", "1", "")
@@ -264,6 +266,66 @@
 	p.gone(t)
 }
 
+// A sound new configuration replaces the old one while a download is open; a faulty one is left.
+func TestReload(t *testing.T) {
+	begun, goOn := make(chan struct{}, 1), make(chan struct{})
+	p := start(t, newNode(t, func(nc net.Conn, id string) {
+		if id == "1slow" {
+			begun <- struct{}{}
+			<-goOn
+		}
+		serves(nc, id)
+	}))
+	defer p.leave(t)
+	asked := make(chan string, 100)
+	newer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Query().Get("resume")
+		<-r.Context().Done()
+	}))
+	defer newer.Close()
+	defer newer.CloseClientConnections()
+	old, err := os.ReadFile(p.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := regexp.MustCompile(`"channel":"[^"]*"`).ReplaceAllString(string(old),
+		fmt.Sprintf(`"channel":%q`, strings.TrimPrefix(newer.URL, "http://")))
+	c := p.dial(t)
+	c.ask("1", "slow", 5*time.Second)
+	<-begun
+	for _, text := range []string{moved[:len(moved)/2], strings.Replace(moved, `"sockets":64`, `"sockets":1`, 1),
+		strings.Replace(moved, `"status":"up"`, `"status":"odd"`, 1), strings.Replace(moved, `"aim":200`, `"aim":100`, 1), moved} {
+		if err := os.WriteFile(p.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for len(p.reload) > 0 { // the one before is being read
+			time.Sleep(time.Millisecond)
+		}
+		p.reload <- syscall.SIGHUP
+		for len(p.reload) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if text != moved {
+			c.send("STATUS", "2")
+			if _, word, _ := c.answer(t); word != "serving" || len(asked) > 0 {
+				t.Errorf("%s, asked %d times, after %s", word, len(asked), text)
+			}
+		}
+	}
+	select {
+	case got := <-asked:
+		if got != "1" {
+			t.Errorf("the new channel was asked for what follows %s", got)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the new channel was not asked")
+	}
+	close(goOn)
+	if tag, word, _ := c.answer(t); tag != "1" || word != "200" {
+		t.Errorf("the open one: %s %s", tag, word)
+	}
+}
+
 // After a load of all kinds, goroutines and descriptors are back where they were.
 func TestNothingIsLeftBehind(t *testing.T) {
 	nodes := []*node{newNode(t, large), newNode(t, hangsUp), newNode(t, silent)}
@@ -305,7 +367,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if err := run(func(string) string { return path }, nil); err == nil {
+		if err := run(func(string) string { return path }, nil, nil); err == nil {
 			t.Errorf("%s was taken", text)
 		}
 	}
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tallyproxy/director"
@@ -51,7 +52,8 @@
 type Fleet struct {
 	pool    *pool.Pool
 	margins director.Margins
-	dials   chan struct{} // a place for each connection that may be held
+	most    atomic.Int64 // connections that may be held
+	held    atomic.Int64 // or are on their way
 	done    chan struct{}
 	mu      sync.Mutex
 	peers   map[*Peer]struct{}
@@ -59,13 +61,15 @@
 
 // New makes a fleet of at most so many connections.
 func New(p *pool.Pool, m director.Margins, most int) *Fleet {
-	f := &Fleet{
-		pool: p, margins: m, dials: make(chan struct{}, most), done: make(chan struct{}), peers: map[*Peer]struct{}{},
-	}
+	f := &Fleet{pool: p, margins: m, done: make(chan struct{}), peers: map[*Peer]struct{}{}}
+	f.Limit(most)
 	go f.tidy()
 	return f
 }
 
+// Limit sets how many connections may be held when another is opened.
+func (f *Fleet) Limit(most int) { f.most.Store(int64(most)) }
+
 // Close ends all connections.
 func (f *Fleet) Close() {
 	close(f.done)
@@ -73,7 +77,7 @@
 }
 
 // Conns is how many connections are held or on their way.
-func (f *Fleet) Conns() int { return len(f.dials) }
+func (f *Fleet) Conns() int { return int(f.held.Load()) }
 
 func (f *Fleet) each(do func(*Peer)) {
 	f.mu.Lock()
@@ -192,9 +196,8 @@
 	if best != nil && len(best.open) < p.f.margins.Shared {
 		return best
 	}
-	select {
-	case p.f.dials <- struct{}{}:
-	default:
+	if p.f.held.Add(1) > p.f.most.Load() {
+		p.f.held.Add(-1)
 		return best
 	}
 	c := &conn{p: p, open: map[string]*Pull{}, old: map[string]bool{}, wake: make(chan struct{}, 1), used: time.Now()}
@@ -316,7 +319,7 @@
 
 // run opens the connection and holds it to its end.
 func (c *conn) run() {
-	defer func() { <-c.p.f.dials }()
+	defer c.p.f.held.Add(-1)
 	nc, err := net.DialTimeout("tcp", c.p.addr, span(c.p.f.margins.Connect))
 	c.p.mu.Lock()
 	if err != nil || c.dead {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 )
 
@@ -60,6 +61,28 @@
 	return c, c.parse(raw)
 }
 
+// Reload reads the file again for a director that runs on c. What can't change while requests go on must be as it was;
+// the seed is for a start alone.
+func (c Config) Reload(getenv func(string) string) (Config, error) {
+	next, err := Load(getenv)
+	if err != nil {
+		return c, err
+	}
+	next.Seed, next.Site.Seed = c.Seed, c.Site.Seed
+	for _, a := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen},
+		{"settings", reflect.DeepEqual(next.Site, c.Site)},
+	} {
+		if !a.same {
+			return c, fmt.Errorf("%s: a change needs a restart", a.key)
+		}
+	}
+	return next, nil
+}
+
 func (c *Config) parse(raw []byte) error {
 	if err := unmarshal(raw, c); err != nil {
 		return err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -42,6 +43,42 @@
 	}
 }
 
+func TestReload(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"channel", "127.0.0.2:8500", "127.0.0.3:8500", ""},
+		{"limits and seed", `"sockets":512},"known"`, `"sockets":256},"seed":"1","known"`, ""},
+		{"not JSON", `{"name"`, `"name"`, "invalid character"},
+		{"faulty", `1.5`, `0`, "limits.cores: 0"},
+		{"listen", "8443", "8444", "listen: a change needs a restart"},
+		{"name", "n3", "n4", "name: a change needs a restart"},
+		{"settings", `"aim":400`, `"aim":500`, "settings: a change needs a restart"},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			getenv := func(key string) string { return map[string]string{"NODE_CONFIG": path}[key] }
+			if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			c, err := Load(getenv)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, []byte(strings.Replace(good, x.old, x.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			next, err := c.Reload(getenv)
+			if x.want != "" {
+				if err == nil || !strings.Contains(err.Error(), x.want) || !reflect.DeepEqual(next, c) {
+					t.Errorf("got %v, want %s", err, x.want)
+				}
+			} else if err != nil || next.Channel == c.Channel && next.Limits == c.Limits || next.Site.Seed != c.Site.Seed {
+				t.Errorf("got %+v, %v", next, err)
+			}
+		})
+	}
+}
+
 func TestFaultsNameTheirKey(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"not JSON", `{"name"`, `"name"`, "invalid character"},
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"tallyproxy/director"
@@ -69,10 +70,33 @@
 type Feed struct {
 	site   config.Site
 	cursor int64
+
+	mu    sync.Mutex
+	addr  string
+	leave context.CancelFunc // ends the call under way
 }
 
 // New makes a feed that has read nothing yet.
-func New(site config.Site) *Feed { return &Feed{site: site} }
+func New(site config.Site) *Feed { return &Feed{site: site, leave: func() {}} }
+
+// Move says at which address to ask from now on; the numbers go on.
+func (f *Feed) Move(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.addr != addr {
+		f.addr = addr
+		f.leave()
+	}
+}
+
+// Known reads the configuration's events.
+func (f *Feed) Known(raw []byte) ([]Event, error) {
+	events, err := f.Read(raw)
+	if err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return events, nil
+}
 
 // Read takes an answer, or the events known at the start, and gives those that are new. An answer that can't be
 // read changes nothing.
@@ -131,9 +155,9 @@
 	return events, nil
 }
 
-// Follow asks the channel for what comes next until the context ends. Each answer's events are handed on
-// together and in order.
-func (f *Feed) Follow(ctx context.Context, addr string, m director.Margins, apply func([]Event)) {
+// Follow asks the channel for what comes next until the context ends, each time at the address that Move named last.
+// Each answer's events are handed on together and in order.
+func (f *Feed) Follow(ctx context.Context, m director.Margins, apply func([]Event)) {
 	block := time.Duration(m.Block) * time.Microsecond
 	client := &http.Client{
 		Timeout:   block + 2*time.Duration(m.Connect)*time.Microsecond,
@@ -142,8 +166,12 @@
 	defer client.CloseIdleConnections()
 	failed := false
 	for ctx.Err() == nil {
-		url := fmt.Sprintf("http://%s/cmd/next?resume=%d&block=%d", addr, f.cursor, block.Milliseconds())
-		events, err := f.ask(ctx, client, url)
+		call, leave := context.WithCancel(ctx)
+		f.mu.Lock()
+		f.leave = leave
+		url := fmt.Sprintf("http://%s/cmd/next?resume=%d&block=%d", f.addr, f.cursor, block.Milliseconds())
+		f.mu.Unlock()
+		events, err := f.ask(call, client, url)
 		if err == nil {
 			if failed {
 				log.Printf("event=feed_back cursor=%d", f.cursor)
@@ -152,16 +180,18 @@
 			if len(events) > 0 {
 				apply(events)
 			}
+			leave()
 			continue
 		}
-		if !failed && ctx.Err() == nil {
+		if !failed && call.Err() == nil {
+			failed = true
 			log.Printf("event=feed_failed cursor=%d err=%q", f.cursor, err)
 		}
-		failed = true
 		select {
-		case <-ctx.Done():
+		case <-call.Done(): // the end, or another address
 		case <-time.After(time.Duration(m.Retry) * time.Microsecond):
 		}
+		leave()
 	}
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -98,9 +98,10 @@
 	defer stop()
 	events, ended := make(chan Event, 9), make(chan struct{})
 	f := New(site)
+	f.Move(strings.TrimPrefix(server.URL, "http://"))
 	m := director.Margins{Block: 1200_000, Connect: director.Second, Retry: 1000}
 	go func() {
-		f.Follow(ctx, strings.TrimPrefix(server.URL, "http://"), m, func(batch []Event) {
+		f.Follow(ctx, m, func(batch []Event) {
 			for _, e := range batch {
 				events <- e
 			}
@@ -146,7 +147,9 @@
 	defer stop()
 	events := make(chan []Event, 1)
 	m := director.Margins{Block: director.Second / 20, Connect: director.Second / 20, Retry: 1000}
-	go New(site).Follow(ctx, strings.TrimPrefix(server.URL, "http://"), m, func(batch []Event) {
+	f := New(site)
+	f.Move(strings.TrimPrefix(server.URL, "http://"))
+	go f.Follow(ctx, m, func(batch []Event) {
 		events <- batch
 		stop()
 	})
@@ -160,6 +163,57 @@
 	}
 }
 
+// A channel at another address is asked at once, from the last event on, though the old one holds its answer back.
+func TestMove(t *testing.T) {
+	asked := make(chan string, 9)
+	channel := func(name, answer string) *httptest.Server {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + " " + r.URL.Query().Get("resume")
+			if r.URL.Query().Get("resume") != "0" && name == "old" {
+				<-r.Context().Done()
+			}
+			fmt.Fprint(w, answer)
+		}))
+		t.Cleanup(server.Close)
+		return server
+	}
+	older := channel("old", `{"cursor":1,"cmds":[`+list+`]}`)
+	newer := channel("new", `{"cursor":2,"cmds":[`+list+","+gone+`]}`)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	f, ended := New(site), make(chan struct{})
+	f.Move(strings.TrimPrefix(older.URL, "http://"))
+	var cursors []int64
+	go func() {
+		f.Follow(ctx, director.Margins{Block: 60 * director.Second, Connect: director.Second}, func(batch []Event) {
+			for _, e := range batch {
+				cursors = append(cursors, e.Cursor)
+			}
+			if len(cursors) == 2 {
+				stop()
+			}
+		})
+		close(ended)
+	}()
+	for i, want := range []string{"old 0", "old 1", "new 1"} {
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Errorf("asked %s, want %s", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("not asked: %s", want)
+		}
+		if i == 1 {
+			f.Move(strings.TrimPrefix(newer.URL, "http://"))
+		}
+	}
+	<-ended
+	if !reflect.DeepEqual(cursors, []int64{1, 2}) {
+		t.Errorf("events %v", cursors)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(`{"cursor":4,"cmds":[` + list + "," + gone + "," + object + "," + group + `]}`))
 	f.Add([]byte(`{"cursor":1e3,"cmds":[{"cursor":1,"nodes":{"endpoints":[{}]}}]}`))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,7 +30,7 @@
 	sink     Sink
 	pool     *pool.Pool
 	margins  director.Margins
-	slots    chan struct{}
+	most     atomic.Int64 // connections held
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
@@ -38,11 +38,14 @@
 
 // New makes a server for so many connections.
 func New(sink Sink, p *pool.Pool, most int, m director.Margins) *Server {
-	return &Server{
-		sink: sink, pool: p, margins: m, slots: make(chan struct{}, most), conns: map[*Conn]struct{}{},
-	}
+	s := &Server{sink: sink, pool: p, margins: m, conns: map[*Conn]struct{}{}}
+	s.Limit(most)
+	return s
 }
 
+// Limit sets how many connections may be held when another is accepted.
+func (s *Server) Limit(most int) { s.most.Store(int64(most)) }
+
 // Serve accepts until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
@@ -52,7 +55,6 @@
 			return err
 		}
 		if err != nil { // descriptors used up, or the client left before
-			<-s.slots
 			log.Printf("event=accept_failed err=%q", err)
 			s.closeIdle()
 			time.Sleep(span(s.margins.Retry))
@@ -68,18 +70,9 @@
 
 // slot waits for a place for one more connection. Only while there is none, one without open requests makes room.
 func (s *Server) slot() {
-	for {
-		select {
-		case s.slots <- struct{}{}:
-			return
-		default:
-		}
-		select {
-		case s.slots <- struct{}{}:
-			return
-		case <-time.After(span(s.margins.Retry)):
-			s.closeIdle()
-		}
+	for s.Conns() >= int(s.most.Load()) {
+		time.Sleep(span(s.margins.Retry))
+		s.closeIdle()
 	}
 }
 
@@ -255,7 +248,6 @@
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
 	c.s.mu.Unlock()
-	<-c.s.slots
 }
 
 // caught ends the connection alone where its goroutine panicked.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,13 @@
 // New makes a pool that lends buffers for bodies while fewer than most are out.
 func New(most int) *Pool { return &Pool{most: most} }
 
+// Limit sets how many buffers may be out when one is lent for a body.
+func (p *Pool) Limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
 // Get lends a buffer to a connection to read into. It never fails: connections are limited elsewhere.
 func (p *Pool) Get() []byte {
 	p.mu.Lock()
