The door is strict, and errors that name no cause are not a node's until another does better

Checked with logs of every message and of every pull that ended badly: - Accepting stopped while all places were held by connections that say nothing, or asked STATUS once and stayed; one was closed each 100 ms (front.go, slot and closeIdle). Now the silent make room first, and each has a bound in time. - Bodies of 60 MB were read up to 64 KB before they were refused; negative and huge lengths ended in a panic of the library. Lengths are now checked as they come; fields, ids and figures against the protocol and the settings. - Hundreds of requests with one id, taken back at once, opened a connection to a node each (back.go, choose). Now an error that names no cause waits for a second node's word.

--- a/cmd/tallyproxy/main.go
+++ b/cmd/tallyproxy/main.go
@@ -43,7 +43,7 @@
 	margins := logic.Margins(c.Site.Settings)
 	buffers := pool.New(c.Limits.Buffers(pool.Size))
 	fleet := back.New(buffers, margins, c.Limits.Dials())
-	router := route.New(logic.New(c.Site.Settings), c.Site, margins, fleet)
+	router := route.New(logic.New(c.Site.Settings), margins, fleet)
 	channel := feed.New(c.Site)
 	known, err := channel.Known(c.Known)
 	if err != nil {
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	server := front.New(router, buffers, c.Limits.Clients(), margins)
+	server := front.New(router, c.Site, buffers, c.Limits.Clients(), margins)
 	go server.Serve(l)
 	ctx, leave := context.WithCancel(context.Background())
 	channel.Move(c.Channel)
--- a/cmd/tallyproxy/main_test.go
+++ b/cmd/tallyproxy/main_test.go
@@ -165,9 +165,12 @@
 }
 
 func (c client) ask(tag, object string, limit time.Duration) {
-	c.send("ASK", tag, "clip", fmt.Sprintf("txn=%s%s,limit=%d,item=%s,n=0,shard=0", tag, object, limit.Milliseconds(), object))
+	c.send("ASK", tag, "clip", fmt.Sprintf("txn=%s,limit=%d,item=%s,n=0,shard=0", id(tag+object), limit.Milliseconds(), id(object)))
 }
 
+// id is a short name as an id of 16 digits.
+func id(name string) string { return fmt.Sprintf("%016x", name)[:16] }
+
 // answer reads a whole answer: tag, word, body.
 func (c client) answer(t *testing.T) (tag, word, body string) {
 	t.Helper()
@@ -227,12 +230,12 @@
 // What is open at the signal and what comes shortly after it is answered; then the director ends.
 func TestSIGTERM(t *testing.T) {
 	begun, goOn := make(chan struct{}, 1), make(chan struct{})
-	p := start(t, newNode(t, func(nc net.Conn, id string) {
-		if id == "1slow" {
+	p := start(t, newNode(t, func(nc net.Conn, txn string) {
+		if txn == id("1slow") {
 			begun <- struct{}{}
 			<-goOn
 		}
-		serves(nc, id)
+		serves(nc, txn)
 	}))
 	c := p.dial(t)
 	c.ask("1", "slow", 5*time.Second)
@@ -269,12 +272,12 @@
 // A sound new configuration replaces the old one while a download is open; a faulty one is left.
 func TestReload(t *testing.T) {
 	begun, goOn := make(chan struct{}, 1), make(chan struct{})
-	p := start(t, newNode(t, func(nc net.Conn, id string) {
-		if id == "1slow" {
+	p := start(t, newNode(t, func(nc net.Conn, txn string) {
+		if txn == id("1slow") {
 			begun <- struct{}{}
 			<-goOn
 		}
-		serves(nc, id)
+		serves(nc, txn)
 	}))
 	defer p.leave(t)
 	asked := make(chan string, 100)
--- a/director/director.go
+++ b/director/director.go
@@ -58,6 +58,7 @@
 	Grace        Micros  // how much older than fresh a copy may be when asked for
 	StaleBenefit float64 // share of the benefit from a copy past its fresh time
 	PassThrough  bool    // never kept: it runs at the origin
+	Whole        bool    // its objects have no parts
 }
 
 // Warming is what a freshly started node bears.
@@ -103,6 +104,9 @@
 	Shared  int    // requests on one connection to a node before another is opened
 	Most    int    // and at the most
 	Confirm Micros // a node that does not show for so long that it heard of a pull's giving up is taken for silent
+	Silent  Micros // a client's message that is not whole so long after its connection or its first byte is given up
+	Resting Micros // a client's connection that had nothing open for so long is closed
+	Back    Micros // after a refusal without the module's word, the client may come back
 	Flush   Micros // a client that takes no bytes for so long is left
 	Linger  Micros // after the signal to stop, new downloads are still taken for so long
 	Block   Micros // how long the command channel may hold an answer back
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -45,6 +45,7 @@
 		MaxAge         []float64 `json:"max-age"`
 		OlderBy        []float64 `json:"older-by"`
 		OldCopyWorth   []float64 `json:"old-copy-worth"`
+		InPieces       []bool    `json:"in-pieces"`
 		NoteLevel      string    `json:"note-level"`
 		OriginKind     *int      `json:"origin-kind"`
 		ShieldKind     *int      `json:"shield-kind"`
@@ -121,7 +122,7 @@
 			Repeat: repeat, Scope: scope, Window: span(lane.DedupWindow),
 			Benefit: lane.Value, LateBenefit: lane.LateWorth,
 			Fresh: span(at(sp.MaxAge, i)), Grace: span(at(sp.OlderBy, i)), StaleBenefit: at(sp.OldCopyWorth, i),
-			PassThrough: at(sp.GoesThrough, i),
+			PassThrough: at(sp.GoesThrough, i), Whole: i < len(sp.InPieces) && !sp.InPieces[i],
 		})
 	}
 	return s, nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"log"
 	"net"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/internal/config"
 	"tallyproxy/internal/pool"
 )
 
@@ -28,17 +30,25 @@
 // Server accepts connections and holds as many as it may.
 type Server struct {
 	sink     Sink
+	types    map[string]*director.ContentType
 	pool     *pool.Pool
 	margins  director.Margins
 	most     atomic.Int64 // connections held
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
+	faults   int       // of clients, since one was logged
+	logged   time.Time // when
 }
 
 // New makes a server for so many connections.
-func New(sink Sink, p *pool.Pool, most int, m director.Margins) *Server {
-	s := &Server{sink: sink, pool: p, margins: m, conns: map[*Conn]struct{}{}}
+func New(sink Sink, site config.Site, p *pool.Pool, most int, m director.Margins) *Server {
+	s := &Server{
+		sink: sink, types: map[string]*director.ContentType{}, pool: p, margins: m, conns: map[*Conn]struct{}{},
+	}
+	for i, name := range site.Types {
+		s.types[name] = site.Settings.Types[i]
+	}
 	s.Limit(most)
 	return s
 }
@@ -48,6 +58,9 @@
 
 // Serve accepts until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	done := make(chan struct{})
+	defer close(done)
+	go s.tidy(done)
 	for {
 		s.slot()
 		nc, err := l.Accept()
@@ -56,11 +69,12 @@
 		}
 		if err != nil { // descriptors used up, or the client left before
 			log.Printf("event=accept_failed err=%q", err)
-			s.closeIdle()
+			s.makeRoom()
 			time.Sleep(span(s.margins.Retry))
 			continue
 		}
-		c := &Conn{s: s, nc: nc, open: map[uint64]bool{}, wake: make(chan struct{}, 1), used: time.Now()}
+		now := time.Now()
+		c := &Conn{s: s, nc: nc, open: map[uint64]bool{}, wake: make(chan struct{}, 1), used: now, since: now}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -68,11 +82,38 @@
 	}
 }
 
-// slot waits for a place for one more connection. Only while there is none, one without open requests makes room.
+// slot waits for a place for one more connection. While there is none, one without open requests makes room.
 func (s *Server) slot() {
 	for s.Conns() >= int(s.most.Load()) {
-		time.Sleep(span(s.margins.Retry))
-		s.closeIdle()
+		if !s.makeRoom() {
+			time.Sleep(span(s.margins.Retry) / 8)
+		}
+	}
+}
+
+// tidy closes connections that rest, and those on which a message does not become whole.
+func (s *Server) tidy(done <-chan struct{}) {
+	tick := time.NewTicker(span(s.margins.Silent) / 8)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-tick.C:
+			s.mu.Lock()
+			for c := range s.conns {
+				c.mu.Lock()
+				switch {
+				case c.ending:
+				case !c.since.IsZero() && now.Sub(c.since) > span(s.margins.Silent):
+					c.refuse()
+				case len(c.open) == 0 && len(c.queue) == 0 && now.Sub(c.used) > span(s.margins.Resting):
+					c.finish()
+				}
+				c.mu.Unlock()
+			}
+			s.mu.Unlock()
+		}
 	}
 }
 
@@ -83,7 +124,9 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	for c := range s.conns {
+		c.mu.Lock()
 		c.finish()
+		c.mu.Unlock()
 	}
 	s.mu.Unlock()
 	for until := time.Now().Add(span(s.margins.Flush)); s.Conns() > 0 && time.Now().Before(until); {
@@ -98,22 +141,43 @@
 	return len(s.conns)
 }
 
-// closeIdle closes the connection that has had no open request for longest, unless it is too new for that.
-func (s *Server) closeIdle() {
+// makeRoom ends the connection that has had no open request for longest, one without a whole message so far before any
+// other. Where that one is too new to tell, it is waited for.
+func (s *Server) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var idlest *Conn
-	since := time.Now().Add(-span(s.margins.Retry))
+	var worst *Conn
+	var heard bool // from the worst
+	var used time.Time
 	for c := range s.conns {
 		c.mu.Lock()
-		if len(c.open) == 0 && len(c.queue) == 0 && c.used.Before(since) {
-			idlest, since = c, c.used
+		if len(c.open) == 0 && len(c.queue) == 0 &&
+			(worst == nil || heard && !c.heard || heard == c.heard && c.used.Before(used)) {
+			worst, heard, used = c, c.heard, c.used
 		}
 		c.mu.Unlock()
 	}
-	if idlest != nil {
-		idlest.finish()
+	if worst == nil || time.Since(used) < span(s.margins.Retry) {
+		return false
+	}
+	worst.mu.Lock()
+	defer worst.mu.Unlock()
+	if len(worst.open) == 0 { // still
+		delete(s.conns, worst)
+		worst.end()
+	}
+	return true
+}
+
+// fault logs what a client did wrong: a line at a time, with the number of those that went without.
+func (s *Server) fault(event string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults++; time.Since(s.logged) < span(s.margins.Resting) {
+		return
 	}
+	log.Printf("event=%s err=%q faults=%d", event, err, s.faults)
+	s.faults, s.logged = 0, time.Now()
 }
 
 // Conn is a client's connection.
@@ -129,7 +193,10 @@
 	ending bool // to be shut once nothing is open or queued
 	shut   bool // the client has been told that nothing more comes; its own end is waited for
 	dead   bool
-	blamed bool // a bad request was logged; one line is enough
+	deaf   bool // what the client sends is no longer read
+	heard  bool // a whole message came
+	faults int
+	since  time.Time // when the message that is under way began; zero for none
 	used   time.Time
 }
 
@@ -167,19 +234,21 @@
 		share = most / 64
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.dead || !c.open[tag] {
+		c.mu.Unlock()
 		body.Free()
 		return
 	}
 	delete(c.open, tag)
 	c.used = time.Now()
 	if c.queued > max(share, 4)*pool.Size {
-		log.Printf("event=client_left reason=reads_nothing queued_bytes=%d", c.queued)
-		body.Free()
 		c.end()
+		c.mu.Unlock()
+		body.Free()
+		c.s.fault("client_left", errors.New("it reads nothing"))
 		return
 	}
+	defer c.mu.Unlock()
 	a := answer{appendHead(make([]byte, 0, 96), tag, word, fields, body.Len()), body}
 	c.queue, c.queued = append(c.queue, a), c.queued+len(a.head)+body.Len()
 	c.signal()
@@ -192,13 +261,13 @@
 	c.end()
 }
 
-// Blame logs that a request can't be used, once a connection.
-func (c *Conn) Blame(tag uint64, reason string) {
+// Blame says that a request can't be used. A client that goes on with such is not listened to any more.
+func (c *Conn) Blame(err error) {
+	c.s.fault("bad_request", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.blamed {
-		c.blamed = true
-		log.Printf("event=bad_request reason=%q tag=%d", reason, tag)
+	if c.faults++; c.faults >= mostOpen {
+		c.refuse()
 	}
 }
 
@@ -209,14 +278,18 @@
 	}
 }
 
-// finish shuts the connection once nothing is open or queued.
+// finish shuts the connection once nothing is open or queued. The caller holds the lock.
 func (c *Conn) finish() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.ending = true
 	c.signal()
 }
 
+// refuse does so and reads nothing more. The caller holds the lock.
+func (c *Conn) refuse() {
+	c.deaf = true
+	c.finish()
+}
+
 // end drops the connection at once. The caller holds the lock.
 func (c *Conn) end() {
 	if c.dead {
@@ -241,7 +314,7 @@
 	}()
 	func() {
 		defer c.caught()
-		c.read()
+		c.read(written)
 	}()
 	<-written
 	c.s.sink.Closed(c)
@@ -258,37 +331,56 @@
 	}
 }
 
-// read takes in what the client sends, to its end. A client that closed its side is owed nothing more.
-func (c *Conn) read() {
-	buf := c.s.pool.Get()
-	defer c.s.pool.Put(buf)
-	p, lost := parser{buf: buf}, false // lost: what comes can't be read any more
+// read takes in what the client sends, to its end. A client that closed its side is owed nothing more. What comes from
+// one that is not listened to is passed over once all is answered: closed at once, it could lose the answers.
+func (c *Conn) read(written <-chan struct{}) {
+	defer c.Drop()
+	p := parser{pool: c.s.pool}
+	defer p.close()
 	for {
 		n, err := c.nc.Read(p.space())
 		came := time.Now()
 		if err != nil {
-			c.Drop()
 			return
 		}
-		if lost {
-			continue
-		}
 		p.fed(n)
 		for {
-			msg, ok, err := p.next()
-			if lost = err != nil; lost {
-				log.Printf("event=client_left reason=malformed err=%q", err)
-				p.from, p.to = 0, 0
-				c.finish()
+			if !c.listens(came, p.begun()) {
+				p.close()
+				<-written
+				io.Copy(io.Discard, c.nc)
+				return
 			}
-			if !ok || lost {
+			msg, ok, err := p.next()
+			if err != nil {
+				c.s.fault("unreadable_client", err)
+				if msg.tag > 0 {
+					c.take(message{tag: msg.tag}, came)
+				}
+				c.mu.Lock()
+				c.refuse()
+				c.mu.Unlock()
+			} else if !ok {
 				break
+			} else {
+				c.take(msg, came)
 			}
-			c.take(msg, came)
 		}
 	}
 }
 
+// listens says whether what the client sends is still read, and keeps the time since when a message is under way.
+func (c *Conn) listens(came time.Time, begun bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !begun && c.heard {
+		c.since = time.Time{}
+	} else if c.since.IsZero() {
+		c.since = came
+	}
+	return !c.deaf
+}
+
 // take deals with one message.
 func (c *Conn) take(msg message, came time.Time) {
 	if msg.verb == "NEVERMIND" {
@@ -307,13 +399,17 @@
 	if !twice {
 		c.open[msg.tag] = true
 	}
-	c.used = came
+	c.used, c.since, c.heard = came, time.Time{}, true
 	shut := c.shut
 	c.mu.Unlock()
+	err := error(nil)
+	if msg.verb == "ASK" {
+		err = msg.ask.admit(c.s.types)
+	}
 	switch {
 	case shut: // it crossed the end, and is sent again
 	case twice: // the first use of the tag gets the one answer
-		c.Blame(msg.tag, "the tag is in use")
+		c.Blame(errors.New("the tag is in use"))
 	case msg.verb == "STATUS":
 		word := wordServing
 		if c.s.stopping.Load() {
@@ -321,17 +417,19 @@
 		}
 		c.answer(msg.tag, word, "", nil)
 	case msg.verb == "":
-		c.Blame(msg.tag, "an unknown verb")
+		c.Blame(errors.New("an unknown message"))
 		c.Abandon(msg.tag)
-	case msg.ask.malformed != nil:
-		c.Blame(msg.tag, msg.ask.malformed.Error())
+	case err != nil:
+		c.Blame(err)
 		c.Abandon(msg.tag)
 	case many:
-		c.Throttle(msg.tag, 0)
+		c.Blame(errors.New("too many requests at once"))
+		c.Throttle(msg.tag, span(c.s.margins.Back))
 	default:
 		msg.ask.Came, msg.ask.Body = came, c.s.pool.Body()
 		if !msg.ask.Body.Write(msg.ask.bytes) {
-			c.Throttle(msg.tag, 0)
+			msg.ask.Body.Free()
+			c.Throttle(msg.tag, span(c.s.margins.Back))
 			return
 		}
 		msg.ask.bytes = nil // the parser's buffer is used again
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/internal/config"
 	"tallyproxy/internal/pool"
 )
 
@@ -62,6 +63,13 @@
 	}
 }
 
+var site = config.Site{
+	Types: []string{"segment", "cover"},
+	Settings: director.Settings{Types: []*director.ContentType{
+		{Expiry: 2 * director.Second}, {Expiry: 2 * director.Second, Repeat: director.Deduped, Whole: true},
+	}},
+}
+
 type bed struct {
 	*Server
 	sink
@@ -69,15 +77,21 @@
 	addr string
 }
 
-func serve(t *testing.T, conns, buffers int, flush time.Duration) *bed {
+func serve(t *testing.T, conns, buffers int, flush time.Duration, change ...func(*director.Margins)) *bed {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	b := &bed{pool: pool.New(buffers), addr: l.Addr().String()}
 	b.sink = sink{make(chan asked, 64), make(chan *Conn, 64), make(chan uint64, 64)}
-	m := director.Margins{Flush: director.Micros(flush.Microseconds()), Connect: director.Second, Retry: director.Second / 5}
-	b.Server = New(b.sink, b.pool, conns, m)
+	m := director.Margins{
+		Flush: director.Micros(flush.Microseconds()), Connect: director.Second, Retry: director.Second / 20,
+		Silent: 20 * director.Second, Resting: 20 * director.Second, Back: 70_000,
+	}
+	for _, to := range change {
+		to(&m)
+	}
+	b.Server = New(b.sink, site, b.pool, conns, m)
 	go b.Serve(l)
 	t.Cleanup(func() {
 		l.Close()
@@ -177,7 +191,7 @@
 	for tag := 2; tag <= mostOpen+1; tag++ {
 		c.Write(ask(fmt.Sprint(tag)))
 	}
-	if got := c.answer(t); got != fmt.Sprint(mostOpen+1, " 503  ") {
+	if got := c.answer(t); got != fmt.Sprint(mostOpen+1, " 503 later=70 ") {
 		t.Errorf("beyond %d open: %q", mostOpen, got)
 	}
 	c.Write(frame("NEVERMIND", "2"))
@@ -278,6 +292,82 @@
 	}
 }
 
+// What comes is checked whole; the rest of the connection goes on, up to a number of faults.
+func TestUnusable(t *testing.T) {
+	b := serve(t, 8, 64, 10*time.Second)
+	c := b.dial(t)
+	for tag := 1; tag < mostOpen; tag++ {
+		c.Write(frame("ASK", fmt.Sprint(tag), "song", fields))
+		if got := c.answer(t); got != fmt.Sprint(tag, " 500  ") {
+			t.Fatalf("got %q", got)
+		}
+	}
+	c.Write(ask("90"))
+	b.next(t, 90).Abandon(90)
+	c.answer(t)
+	c.Write(append(frame("ASK", "91", "song", fields), ask("92")...))
+	if got := c.answer(t); got != "91 500  " {
+		t.Errorf("got %q", got)
+	}
+	if _, err := c.in.ReadByte(); err != io.EOF || len(b.asks) != 0 {
+		t.Errorf("after too many faults: %v, %d asked for", err, len(b.asks))
+	}
+	d := b.dial(t) // 60 MB that never come: the head is enough
+	fmt.Fprint(d, "*5\r\n$3\r\nASK\r\n$1\r\n7\r\n$7\r\nsegment\r\n$1\r\nx\r\n$60000000\r\n")
+	if got := d.answer(t); got != "7 500  " {
+		t.Errorf("got %q", got)
+	}
+	if _, err := d.in.ReadByte(); err != io.EOF {
+		t.Errorf("after 60 MB: %v, want the end", err)
+	}
+}
+
+// Connections without a whole message, and those that rest, are closed; one with a request open is not.
+func TestConnectionsThatRest(t *testing.T) {
+	short := func(m *director.Margins) { m.Silent, m.Resting = director.Second/20, director.Second/10 }
+	cases := []struct{ name, first string }{
+		{"nothing sent", ""},
+		{"half a message", "*2\r\n$6\r\nSTA"},
+		{"a whole one, then half", string(frame("STATUS", "1")) + "*2\r\n$6"},
+		{"asked once", string(frame("STATUS", "1"))},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			b := serve(t, 8, 64, 10*time.Second, short)
+			busy, c := b.dial(t), b.dial(t)
+			busy.Write(ask("1"))
+			conn := b.next(t, 1)
+			io.WriteString(c, x.first)
+			if all, err := io.ReadAll(c.in); err != nil || strings.Contains(x.first, "1") != (len(all) > 0) {
+				t.Errorf("got %q, %v", all, err)
+			}
+			conn.Abandon(1)
+			if got := busy.answer(t); got != "1 500  " {
+				t.Errorf("the busy one got %q", got)
+			}
+		})
+	}
+}
+
+// Silent connections make room for those that speak, and for each other, however many come.
+func TestFloodOfSilentConnections(t *testing.T) {
+	b := serve(t, 4, 64, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 100 })
+	good := b.dial(t)
+	good.Write(frame("STATUS", "1"))
+	good.answer(t)
+	for range 40 {
+		b.dial(t)
+	}
+	late := b.dial(t)
+	for i, c := range []client{late, good} {
+		c.Write(ask("7"))
+		b.next(t, 7).Abandon(7)
+		if got := c.answer(t); got != "7 500  " {
+			t.Errorf("client %d got %q", i, got)
+		}
+	}
+}
+
 // poor is a listener that has no descriptor left at first.
 type poor struct {
 	net.Listener
@@ -297,7 +387,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(sink{closed: make(chan *Conn, 1)}, pool.New(1), 1, director.Margins{Flush: director.Second, Retry: director.Second / 5})
+	s := New(sink{closed: make(chan *Conn, 1)}, site, pool.New(1), 1,
+		director.Margins{Flush: director.Second, Retry: director.Second / 5, Silent: director.Second, Resting: director.Second})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(&poor{Listener: l}) }()
 	c := (&bed{addr: l.Addr().String()}).dial(t)
--- a/internal/front/protocol_test.go
+++ b/internal/front/protocol_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"tallyproxy/director"
 	"tallyproxy/internal/pool"
 )
 
@@ -25,7 +26,7 @@
 
 // all feeds a parser pieces of a size and writes down what it makes of them.
 func all(data []byte, piece int) (got []string, err error) {
-	p := parser{buf: make([]byte, pool.Size)}
+	p := parser{pool: pool.New(1)}
 	for len(data) > 0 {
 		n := copy(p.space(), data[:min(piece, len(data))])
 		p.fed(n)
@@ -76,6 +77,9 @@
 		{"nothing", "*0\r\n"},
 		{"tag 0", string(frame("ASK", "0", "segment", fields))},
 		{"tag below 0", string(frame("STATUS", "-1"))},
+		{"a length in words", "*2\r\n$x\r\nxx\r\n"},
+		{"a length that does not end", "*2\r\n$" + strings.Repeat("0", 99)},
+		{"60 MB are announced", "*5\r\n$3\r\nASK\r\n$1\r\n7\r\n$1\r\nx\r\n$1\r\nx\r\n$60000000\r\n"},
 		{"a body that does not end", "*2\r\n$3\r\nASKx\r\n$1\r\n7\r\n"},
 	}
 	for _, c := range cases {
@@ -88,29 +92,46 @@
 }
 
 func TestAsk(t *testing.T) {
+	types := map[string]*director.ContentType{"segment": site.Settings.Types[0], "cover": site.Settings.Types[1]}
+	key := strings.Repeat("5c0f6e1a", 4)
 	whole := Ask{
-		Type: "segment", Txn: "9b1f03aa5c7e2d41", Key: "k1", Object: "7f3a9c21e0b4d655", Part: 3, Group: 17,
+		Type: types["segment"], Sort: "segment", Txn: "9b1f03aa5c7e2d41", Object: "7f3a9c21e0b4d655", Part: 3, Group: 17,
 		Held: "4be0c1927d55a6f3", Again: true, Limit: 1500 * time.Millisecond, bytes: []byte("b"),
 	}
 	msg, err := parse([][]byte{[]byte("ASK"), []byte("7"), []byte("segment"),
-		[]byte(fields + ",second=1,unique=k1,mine=4be0c1927d55a6f3,novelty=1"), []byte("b")})
-	if err != nil || !reflect.DeepEqual(msg.ask, whole) {
-		t.Errorf("got %+v, %v", msg.ask, err)
+		[]byte(fields + ",second=1,mine=4be0c1927d55a6f3"), []byte("b")})
+	if fault := msg.ask.admit(types); err != nil || fault != nil || !reflect.DeepEqual(msg.ask, whole) {
+		t.Errorf("got %+v, %v, %v", msg.ask, err, fault)
 	}
-	cases := []struct{ name, old, new string }{
-		{"no txn", "txn=9b1f03aa5c7e2d41", ""}, {"no item", "item=7f3a9c21e0b4d655", ""},
-		{"no limit", "limit=1500", ""}, {"limit 0", "1500", "0"}, {"limit in words", "1500", "soon"},
-		{"part below 0", "n=3", "n=-3"}, {"shard", "shard=17", "shard=x"}, {"a line end", "7f3a", "7\r\na"},
-		{"a blank", "9b1f", "9 1f"}, {"held", "n=3", "mine=a b"}, {"too long", "9b1f", strings.Repeat("9", 99)},
+	cases := []struct{ name, sort, old, new string }{
+		{"a content type", "song", "", ""}, {"no txn", "segment", "txn=9b1f03aa5c7e2d41,", ""},
+		{"no item", "segment", "item=7f3a9c21e0b4d655,", ""}, {"no limit", "segment", "limit=1500,", ""},
+		{"no part", "segment", "n=3,", ""}, {"no shard", "segment", ",shard=17", ""},
+		{"limit 0", "segment", "1500", "0"}, {"limit in words", "segment", "1500", "soon"},
+		{"limit over the type's", "segment", "1500", "2001"}, {"limit beyond numbers", "segment", "1500", "99999999999999999999999"},
+		{"part below 0", "segment", "n=3", "n=-3"}, {"part no number", "segment", "n=3", "n=nan"},
+		{"part too large", "segment", "n=3", "n=65536"}, {"a part of what has none", "cover", "n=3", "n=3,unique=" + key},
+		{"shard no number", "segment", "shard=17", "shard=x"}, {"shard too large", "segment", "shard=17", "shard=256"},
+		{"a sign", "segment", "shard=17", "shard=+17"}, {"a line end", "segment", "7f3a", "7\r\na"},
+		{"a blank", "segment", "9b1f", "9 1f"}, {"no digits", "segment", "9b1f", "gggg"}, {"too long", "segment", "9b1f", "9b1f9"},
+		{"held", "segment", "n=3", "n=3,mine=a b"}, {"second", "segment", "n=3", "n=3,second=2"},
+		{"a key where none belongs", "segment", "n=3", "n=3,unique=" + key}, {"no key", "cover", "n=3", "n=0"},
+		{"half a key", "cover", "n=3", "n=0,unique=5c0f"}, {"a field twice", "segment", "n=3", "n=3,n=3"},
+		{"an unknown field", "segment", "n=3", "n=3,novelty=1"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			text := strings.Replace(fields, c.old, c.new, 1)
-			if a := parseAsk([][]byte{[]byte("segment"), []byte(text)}); a.malformed == nil {
+			a := parseAsk([][]byte{[]byte(c.sort), []byte(text)})
+			if err := a.admit(types); err == nil {
 				t.Errorf("%s was taken as %+v", text, a)
 			}
 		})
 	}
+	a := parseAsk([][]byte{[]byte("cover"), []byte(strings.Replace(fields, "n=3", "n=0,unique="+key, 1)), nil})
+	if err := a.admit(types); err != nil || a.Key != key {
+		t.Errorf("a deduped one: %+v, %v", a, err)
+	}
 }
 
 func FuzzParser(f *testing.F) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,11 +7,11 @@
 	"errors"
 	"log"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"tallyproxy/director"
 	"tallyproxy/internal/back"
-	"tallyproxy/internal/config"
 	"tallyproxy/internal/feed"
 	"tallyproxy/internal/front"
 )
@@ -29,9 +29,9 @@
 	offset  director.Micros // the system's clock at the start
 
 	// owned by the goroutine
-	types     map[string]*director.ContentType
 	peers     map[string]*peer                     // by node; emptied by the list
 	downloads map[*front.Conn]map[uint64]*download // emptied as they end
+	ids       map[string]*download                 // emptied once their pulls have ended too
 	timers    timers
 	count     int // downloads without a final answer
 }
@@ -61,16 +61,13 @@
 }
 
 // New makes a router; Run lets it work.
-func New(module director.Director, site config.Site, m director.Margins, fleet *back.Fleet) *Router {
+func New(module director.Director, m director.Margins, fleet *back.Fleet) *Router {
 	r := &Router{
 		module: module, margins: m, fleet: fleet, calls: make(chan func(), waiting),
-		done: make(chan struct{}), start: time.Now(), types: map[string]*director.ContentType{},
-		peers: map[string]*peer{}, downloads: map[*front.Conn]map[uint64]*download{},
+		done: make(chan struct{}), start: time.Now(), peers: map[string]*peer{},
+		downloads: map[*front.Conn]map[uint64]*download{}, ids: map[string]*download{},
 	}
 	r.offset = director.Micros(r.start.UnixMicro())
-	for i, name := range site.Types {
-		r.types[name] = site.Settings.Types[i]
-	}
 	return r
 }
 
@@ -167,15 +164,15 @@
 // Ask takes a download from a client.
 func (r *Router) Ask(c *front.Conn, tag uint64, a front.Ask) {
 	r.do(func() {
-		t := r.types[a.Type]
-		if t == nil {
+		if r.ids[a.Txn] != nil { // a node could not tell the two apart
 			a.Body.Free()
-			c.Blame(tag, "an unknown content type")
+			c.Blame(errors.New("txn: it is that of an open request"))
 			c.Abandon(tag)
 			return
 		}
 		dl := &download{conn: c, tag: tag, ask: a, index: -1}
-		dl.Type, dl.Object, dl.Part, dl.Group, dl.Again = t, a.Object, a.Part, a.Group, a.Again
+		r.ids[a.Txn] = dl
+		dl.Type, dl.Object, dl.Part, dl.Group, dl.Again = a.Type, a.Object, a.Part, a.Group, a.Again
 		dl.Arrived = r.at(a.Came)
 		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - r.margins.Answer
 		if r.downloads[c] == nil {
@@ -235,9 +232,17 @@
 		}
 	}
 	dl.ask.Body.Free()
+	r.forget(dl)
 	r.plan(dl)
 }
 
+// forget gives a download's id free once it can be met nowhere any more.
+func (r *Router) forget(dl *download) {
+	if dl.Over && !slices.ContainsFunc(dl.pulls, func(p *pull) bool { return !p.over }) {
+		delete(r.ids, dl.ask.Txn)
+	}
+}
+
 // act does what the module says.
 func (r *Router) act(now director.Micros, dl *download, a director.Answer) {
 	switch a.Verb {
@@ -265,7 +270,7 @@
 
 func (r *Router) pull(now director.Micros, dl *download, a director.Answer) {
 	w := back.Want{
-		ID: dl.ask.Txn, Sort: dl.ask.Type, Asset: dl.Object, Slice: dl.Part, Patience: span(a.TimeOut),
+		ID: dl.ask.Txn, Sort: dl.ask.Sort, Asset: dl.Object, Slice: dl.Part, Patience: span(a.TimeOut),
 		Key: dl.ask.Key, Rank: a.Keep, Oldest: span(a.Oldest), Join: a.Join, Held: a.Held, Renew: a.Renew,
 		Seen: dl.ask.Held, Body: dl.ask.Body,
 	}
@@ -295,6 +300,7 @@
 	}
 	p.over = true
 	defer r.caught(dl)
+	defer r.forget(dl)
 	if answer.Word == back.Unchanged && dl.ask.Held == "" { // the client holds no copy
 		how = director.Failed
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -74,7 +74,7 @@
 }
 
 func (s *script) Where(_ director.Micros, dl *director.Download) director.Answer {
-	if dl.Object == "bad" {
+	if dl.Object == "baaaaaaaaaaaaaad" {
 		panic(dl.Object)
 	}
 	if dl.Notes == nil {
@@ -160,7 +160,12 @@
 }
 
 func (b *bed) ask(tag, more string) {
-	b.send("ASK", tag, "clip", "txn=t"+tag+",limit=60000,item=o"+tag+",n=0,shard=1"+more)
+	b.send("ASK", tag, "clip", "txn="+id("t", tag)+",limit=60000,item="+id("o", tag)+",n=0,shard=1"+more)
+}
+
+// id is a short name as an id of 16 digits, in the letters that those have.
+func id(name, tag string) string {
+	return strings.Map(func(r rune) rune { return map[rune]rune{'t': 'a', 'o': 'b'}[r] }, name) + strings.Repeat("0", 15-len(tag)) + tag
 }
 
 // answered reads an answer and checks its words.
@@ -192,13 +197,14 @@
 	if b.node, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	m := director.Margins{Connect: 10 * director.Second, Idle: 100 * director.Second, Shared: 8, Most: 8, Flush: 10 * director.Second}
+	m := director.Margins{Connect: 10 * director.Second, Idle: 100 * director.Second, Shared: 8, Most: 8, Flush: 10 * director.Second,
+		Silent: 60 * director.Second, Resting: 60 * director.Second}
 	p := pool.New(64)
 	fleet := back.New(p, m, 8)
-	site := config.Site{Types: []string{"clip"}, Settings: director.Settings{Types: []*director.ContentType{{}}}}
-	b.Router = New(b.script, site, m, fleet)
+	site := config.Site{Types: []string{"clip"}, Settings: director.Settings{Types: []*director.ContentType{{Expiry: 60 * director.Second}}}}
+	b.Router = New(b.script, m, fleet)
 	go b.Router.Run()
-	server := front.New(b.Router, p, 8, m)
+	server := front.New(b.Router, site, p, 8, m)
 	go server.Serve(l)
 	b.list(director.Ready)
 	if b.client, err = net.Dial("tcp", l.Addr().String()); err != nil {
@@ -250,48 +256,48 @@
 		play    func(*bed)
 	}{
 		{"fulfilled", 0, []director.Answer{pulls}, "", func(b *bed) {
-			b.nodeHears("want t1 sort=clip,asset=o1,slice=0,patience=60000,from=p1 0\r\n")
-			io.WriteString(b.nc, "t1 data n=local 3\r\nxyz\r\n")
+			b.nodeHears("want a000000000000001 sort=clip,asset=b000000000000001,slice=0,patience=60000,from=p1 0\r\n")
+			io.WriteString(b.nc, "a000000000000001 data n=local 3\r\nxyz\r\n")
 			b.answered("1 200  xyz")
 			b.hears("after 0 0 1 true")
 		}},
 		{"a copy that it lacks is said to hold", 0, []director.Answer{pulls, late}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
-			io.WriteString(b.nc, "t1 unchanged - 0\r\n\r\n")
+			b.nodeHears("want a000000000000001 ")
+			io.WriteString(b.nc, "a000000000000001 unchanged - 0\r\n\r\n")
 			b.hears("after 0 1 0 false")
 			b.answered("1 503 later=250 ")
 		}},
 		{"its copy holds", 0, []director.Answer{pulls}, ",mine=4be0c1927d55a6f3", func(b *bed) {
-			b.nodeHears("want t1 sort=clip,asset=o1,slice=0,patience=60000,from=p1,seen=4be0c1927d55a6f3 0\r\n")
-			io.WriteString(b.nc, "t1 unchanged n=expired 0\r\n\r\n")
+			b.nodeHears("want a000000000000001 sort=clip,asset=b000000000000001,slice=0,patience=60000,from=p1,seen=4be0c1927d55a6f3 0\r\n")
+			io.WriteString(b.nc, "a000000000000001 unchanged n=expired 0\r\n\r\n")
 			b.answered("1 200 still=1 ")
 			b.hears("after 0 0 5 true")
 		}},
 		{"a miss, then throttled", 0, []director.Answer{pulls, late}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
-			io.WriteString(b.nc, "t1 absent n=not_there 0\r\n\r\n")
+			b.nodeHears("want a000000000000001 ")
+			io.WriteString(b.nc, "a000000000000001 absent n=not_there 0\r\n\r\n")
 			b.hears("after 0 8 8 false")
 			b.answered("1 503 later=250 ")
 		}},
 		{"failed, then pulled again", 0, []director.Answer{pulls, pulls}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
-			io.WriteString(b.nc, "t1 failed n=far_fault 0\r\n\r\n")
+			b.nodeHears("want a000000000000001 ")
+			io.WriteString(b.nc, "a000000000000001 failed n=far_fault 0\r\n\r\n")
 			b.hears("after 0 1 10 false")
-			b.nodeHears("want t1 ")
-			io.WriteString(b.nc, "t1 data - 0\r\n\r\n")
+			b.nodeHears("want a000000000000001 ")
+			io.WriteString(b.nc, "a000000000000001 data - 0\r\n\r\n")
 			b.answered("1 200  ")
 			b.hears("after 1 0 0 true")
 		}},
 		{"held, then abandoned", 1000, []director.Answer{again, again, {Verb: director.Abandon}}, "", func(b *bed) {
 			close(b.gate)
-			b.hears("where o1")
-			b.hears("where o1")
+			b.hears("where b000000000000001")
+			b.hears("where b000000000000001")
 			b.answered("1 500  ")
 		}},
 		{"cancelled, its node silent", 1000, []director.Answer{pulls, cancel, late}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
+			b.nodeHears("want a000000000000001 ")
 			close(b.gate)
-			b.hears("where o1")
+			b.hears("where b000000000000001")
 			b.hears("after 0 6 0 false")
 			b.answered("1 503 later=250 ")
 		}},
@@ -300,15 +306,15 @@
 			b.answered("1 503 later=250 ")
 		}},
 		{"the client gives up", 0, []director.Answer{pulls}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
+			b.nodeHears("want a000000000000001 ")
 			b.send("NEVERMIND", "1")
-			b.nodeHears("never_mind t1")
+			b.nodeHears("never_mind a000000000000001")
 			b.hears("after 0 6 0 true")
 		}},
 		{"the client hangs up", 0, []director.Answer{pulls}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
+			b.nodeHears("want a000000000000001 ")
 			b.client.Close()
-			b.nodeHears("never_mind t1")
+			b.nodeHears("never_mind a000000000000001")
 			b.hears("after 0 6 0 true")
 		}},
 		{"a node that is not listed", 0, []director.Answer{
@@ -318,9 +324,9 @@
 			b.answered("1 503 later=250 ")
 		}},
 		{"its node leaves meanwhile", 0, []director.Answer{pulls}, "", func(b *bed) {
-			b.nodeHears("want t1 ")
+			b.nodeHears("want a000000000000001 ")
 			b.list(director.Gone)
-			io.WriteString(b.nc, "t1 data n=pulled 3\r\nxyz\r\n")
+			io.WriteString(b.nc, "a000000000000001 data n=pulled 3\r\nxyz\r\n")
 			b.answered("1 200  xyz")
 			b.hears("after 0 0 2 true")
 			if _, err := b.back.ReadByte(); err != io.EOF {
@@ -332,16 +338,32 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newBed(t, c.wait, c.answers...)
 			b.ask("1", c.more)
-			b.hears("where o1")
+			b.hears("where b000000000000001")
 			c.play(b)
 		})
 	}
 }
 
-func TestUnknownContentType(t *testing.T) {
-	b := newBed(t, 0)
-	b.send("ASK", "1", "song", "txn=t1,limit=60000,item=o1,n=0,shard=1")
-	b.answered("1 500  ")
+// The id of a request that is open at a client or a node says nothing to the module, whoever sends it.
+func TestIDInUse(t *testing.T) {
+	b := newBed(t, 0, pulls, director.Answer{}, pulls)
+	b.ask("1", "")
+	b.hears("where b000000000000001")
+	b.nodeHears("want a000000000000001 ")
+	again := func(tag string) {
+		b.send("ASK", tag, "clip", "txn=a000000000000001,limit=60000,item=b000000000000009,n=0,shard=1")
+	}
+	again("2")
+	b.answered("2 500  ")
+	io.WriteString(b.nc, "a000000000000001 data - 0\r\n\r\n")
+	b.answered("1 200  ")
+	b.hears("after 0 0 0 true")
+	again("3")
+	b.hears("where b000000000000009")
+	b.nodeHears("want a000000000000001 ")
+	io.WriteString(b.nc, "a000000000000001 data - 0\r\n\r\n")
+	b.answered("3 200  ")
+	b.hears("after 0 0 0 true")
 }
 
 func TestEvents(t *testing.T) {
@@ -350,8 +372,8 @@
 	b.hears("purged o -1 5")
 	b.hears("purged  3 6")
 	b.ask("1", "")
-	b.hears("where o1")
-	b.nodeHears("want t1 ")
+	b.hears("where b000000000000001")
+	b.nodeHears("want a000000000000001 ")
 	// The same name and address with another start is a new process: what follows goes over a new connection.
 	b.Apply([]feed.Event{{Listed: true, Nodes: []feed.Node{
 		{Node: director.Node{ID: "e1", Started: 7}, Addr: b.node.Addr().String()},
@@ -360,12 +382,12 @@
 	old := b.nc
 	b.nc = nil
 	b.ask("2", "")
-	b.hears("where o2")
-	b.nodeHears("want t2 ")
-	io.WriteString(b.nc, "t2 data - 0\r\n\r\n")
+	b.hears("where b000000000000002")
+	b.nodeHears("want a000000000000002 ")
+	io.WriteString(b.nc, "a000000000000002 data - 0\r\n\r\n")
 	b.answered("2 200  ")
 	b.hears("after 0 0 0 true")
-	io.WriteString(old, "t1 data - 0\r\n\r\n")
+	io.WriteString(old, "a000000000000001 data - 0\r\n\r\n")
 	b.answered("1 200  ")
 }
 
@@ -378,14 +400,14 @@
 		t.Fatal(err)
 	}
 	defer other.Close()
-	fmt.Fprint(other, "*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$4\r\nclip\r\n$25\r\ntxn=t,limit=60000,item=bad\r\n")
+	fmt.Fprint(other, "*4\r\n$3\r\nASK\r\n$1\r\n1\r\n$4\r\nclip\r\n$66\r\ntxn=baaaaaaaaaaaaaad,limit=60000,item=baaaaaaaaaaaaaad,n=0,shard=1\r\n")
 	if _, err := other.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("got %v, want the end", err)
 	}
 	b.ask("1", "")
-	b.hears("where o1")
-	b.nodeHears("want t1 ")
-	io.WriteString(b.nc, "t1 data - 0\r\n\r\n")
+	b.hears("where b000000000000001")
+	b.nodeHears("want a000000000000001 ")
+	io.WriteString(b.nc, "a000000000000001 data - 0\r\n\r\n")
 	b.answered("1 200  ")
 	b.hears("after 0 0 0 true")
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -123,6 +123,7 @@
 	hash   uint64
 	pulls  []*pull
 	ran    *pull    // the first pull that may have run
+	errs   []*pull  // ended with an error that names no cause
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
 	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
@@ -179,6 +180,7 @@
 		Answer: 2 * s.AnswerGrace, Connect: s.ConnectTimeout, Idle: s.KeepAlive * 3 / 4,
 		Shared: max(1, s.Streams/12), Most: max(1, s.Streams), Linger: 2 * s.ConnectTimeout,
 		Block: s.PurgeKept / 5, Retry: s.ConnectTimeout / 4, Confirm: s.ConnectTimeout / 4,
+		Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6, Back: min(s.MaxComeBack, s.ConnectTimeout),
 	}
 	for _, t := range s.Types {
 		m.Flush = max(m.Flush, t.Expiry)
@@ -280,7 +282,7 @@
 	}
 	p := nt.pulls[out.Pull]
 	p.over = true
-	l.learn(now, dl, p, out)
+	l.learn(now, dl, nt, p, out)
 	if dl.Over || out.Last {
 		return d.Answer{}
 	}
@@ -295,7 +297,7 @@
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
-	if nt.tries > furtherPulls || len(nt.pulls) >= l.s.MostPulls || overloaded {
+	if nt.tries > furtherPulls || len(nt.errs) > 1 || len(nt.pulls) >= l.s.MostPulls || overloaded {
 		return l.giveUp(dl, nt)
 	}
 	return l.place(now, dl, nt)
@@ -464,8 +466,10 @@
 	return d.Answer{Verb: d.Cancel, Pull: len(nt.pulls) - 1}
 }
 
-// learn takes a pull's end into what is known of its nodes.
-func (l *Logic) learn(now d.Micros, dl *d.Download, p *pull, out d.Outcome) {
+// learn takes a pull's end into what is known of its nodes. An error that names no cause is held against its
+// node once another does what was asked; two nodes that err are taken to agree. Guards against clients that
+// ask for what no node can use. Could harm where two nodes err on what a third would do.
+func (l *Logic) learn(now d.Micros, dl *d.Download, nt *notes, p *pull, out d.Outcome) {
 	e, s, took := p.edge, p.source, now-p.sent
 	e.limit.out--
 	l.gate.out -= bit(p.fill)
@@ -478,6 +482,19 @@
 	}
 	step(&l.trouble, out.Ending == d.TurnedAway || out.Ending == d.TimedOut ||
 		out.Ending == d.Fulfilled && took > p.target)
+	if out.Ending == d.Failed && out.Filling == d.Untold && l.s.SourcesTold {
+		nt.errs = append(nt.errs, p)
+		e.heard, e.unheard = now, 0
+		return
+	}
+	if out.Ending == d.Fulfilled || out.Ending == d.Missing {
+		for _, q := range nt.errs {
+			if q.edge.sign(q) >= strikes {
+				l.skip(now, q.edge, q, d.Second)
+			}
+		}
+		nt.errs = nil
+	}
 	switch out.Ending {
 	case d.Fulfilled:
 		e.good(now, p, out.Filling == d.Hit || out.Filling == d.Stale)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -369,6 +369,44 @@
 	}
 }
 
+// Errors that name no cause are the client's where two nodes agree, a node's where another does what was asked.
+func TestErrorsWithoutACause(t *testing.T) {
+	cases := []struct {
+		name  string
+		then  d.Ending
+		verb  d.Verb // of the answer to it
+		skips bool
+	}{
+		{"another node errs too", d.Failed, d.Throttle, false},
+		{"another node fulfils", d.Fulfilled, d.Nothing, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.SourcesTold = true
+			b := newBed(s, 3, 2)
+			for _, o := range b.objects("e1", 2*strikes) {
+				dl, ans := b.ask(o)
+				if ans.Node.ID != "e1" {
+					break // it is skipped
+				}
+				if ans := b.end(dl, ms, d.Failed, d.Untold); ans.Verb != d.Pull || ans.Node.ID == "e1" {
+					t.Fatalf("after the first error: %+v", ans)
+				}
+				if ans := b.end(dl, ms, c.then, d.Untold); ans.Verb != c.verb {
+					t.Fatalf("after the second node: %+v", ans)
+				}
+			}
+			if skipped := b.nodes["e1"].skipUntil > b.now; skipped != c.skips {
+				t.Errorf("skipped: %v", skipped)
+			}
+			if b.jam > 0 && !c.skips {
+				t.Errorf("an error at once counts as a slow fill: %v", b.jam)
+			}
+		})
+	}
+}
+
 func TestSilentNode(t *testing.T) {
 	b := newBed(settings(), 3, 1)
 	objects := b.objects("e1", 4)
