--- a/logic/logic.go
+++ b/logic/logic.go
@@ -519,8 +519,8 @@
 		}
 		if e.sign(p) >= strikes {
 			l.skip(now, e, p, d.Second)
-		} else if out.Ending == d.Broken { // a fault of the connection as yet, told once
-			p.blameless, e.skipped = true, now
+		} else if out.Ending == d.Broken { // the connection's fault as yet, told once: there again, but once
+			p.blameless, e.skipped = p == nt.pulls[0] || nt.pulls[len(nt.pulls)-2].edge != e, now
 		}
 	case d.TurnedAway, d.Failed, d.TimedOut:
 		if s != e && out.Filling != d.NoPlace && !p.slow {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -370,36 +370,38 @@
 	}
 }
 
-// What ends with one connection is one sign against its node, and may go there again; some in a row are a failure.
+// What ends with one connection is one sign against its node, and may go there once more; some in a row are a failure.
 func TestBrokenConnections(t *testing.T) {
-	b := newBed(settings(), 3, 2)
-	objects := b.objects("e1", 2*strikes)
-	var together []*d.Download
-	for _, o := range objects {
-		dl, _ := b.ask(o)
-		together = append(together, dl)
-	}
-	b.now += ms
-	for i, dl := range together {
-		ans := b.end(dl, 0, d.Broken, d.Untold)
-		if ans.Verb != d.Pull || ans.Node.ID != "e1" {
-			t.Fatalf("download %d: %+v", i, ans)
+	t.Run("together", func(t *testing.T) {
+		b := newBed(settings(), 3, 2)
+		var together []*d.Download
+		for _, o := range b.objects("e1", 2*strikes) {
+			dl, _ := b.ask(o)
+			together = append(together, dl)
 		}
-	}
-	for i, dl := range together { // one after another
-		ans := b.end(dl, ms, d.Broken, d.Untold)
-		if skipped := b.nodes["e1"].skipUntil > b.now; skipped != (i+2 >= strikes) {
-			t.Errorf("%d in a row: skipped %v", i+2, skipped)
-		}
-		if b.nodes["e1"].skipUntil > b.now {
-			if ans.Verb != d.Pull || ans.Node.ID == "e1" {
-				t.Errorf("then: %+v", ans)
+		b.now += ms
+		for i, dl := range together {
+			if ans := b.end(dl, 0, d.Broken, d.Untold); ans.Verb != d.Pull || ans.Node.ID != "e1" {
+				t.Fatalf("download %d: %+v", i, ans)
 			}
-			break
 		}
-		dl, _ = b.ask(objects[i])
-		together[i+1] = dl
-	}
+		if ans := b.end(together[0], 0, d.Broken, d.Untold); ans.Verb != d.Pull || ans.Node.ID == "e1" {
+			t.Errorf("a third time there: %+v", ans)
+		}
+	})
+	t.Run("one after another", func(t *testing.T) {
+		b := newBed(settings(), 3, 2)
+		for i, o := range b.objects("e1", strikes) {
+			dl, _ := b.ask(o)
+			ans := b.end(dl, ms, d.Broken, d.Untold)
+			skipped := b.nodes["e1"].skipUntil > b.now
+			if skipped != (i+1 == strikes) || ans.Verb != d.Pull || (ans.Node.ID == "e1") == skipped {
+				t.Errorf("%d in a row: skipped %v, %+v", i+1, skipped, ans)
+			}
+			dl.Over = true
+			b.end(dl, 0, d.Cancelled, d.Untold)
+		}
+	})
 }
 
 // Errors that name no cause are the client's where two nodes agree, a node's where another does what was asked.
