--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -167,9 +167,10 @@
 type Pull struct {
 	want Want
 	done func(Answer, error)
-	conn *conn
+	peer *Peer
 	size int // of what is written for it, at the most
 	// guarded by the peer's lock
+	conn   *conn
 	sent   time.Time // when it was last known not to be written
 	stage  Stage
 	gaveUp bool
@@ -182,7 +183,7 @@
 // *Error. The request goes over none of the connections that pulls before it went over: an answer of theirs that is
 // late, or comes twice, would be taken for its own.
 func (p *Peer) Send(w Want, done func(Answer, error), before ...*Pull) *Pull {
-	pull := &Pull{want: w, done: done, size: longestHead + w.Body.Len(), sent: time.Now()}
+	pull := &Pull{want: w, done: done, peer: p, size: longestHead + w.Body.Len(), sent: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.put(pull, before) {
@@ -213,7 +214,7 @@
 	var best *conn
 	for _, c := range p.conns {
 		if c.retired || c.open[id] != nil || c.old[id] || len(c.open) >= p.f.margins.Most ||
-			slices.ContainsFunc(before, func(l *Pull) bool { return l.conn == c }) {
+			slices.ContainsFunc(before, func(l *Pull) bool { return l.peer == p && l.conn == c }) {
 			continue
 		}
 		if best == nil || c.rank() < best.rank() || c.rank() == best.rank() && len(c.open) < len(best.open) {
@@ -241,15 +242,15 @@
 // it, and so it is where nothing else is open; else the node is asked whether it is there, and Done waits for its word,
 // or for a reset when that does not come.
 func (l *Pull) GiveUp(sure bool) {
-	c := l.conn
-	if c == nil {
+	if l.peer == nil {
 		return
 	}
-	c.p.mu.Lock()
-	defer c.p.mu.Unlock()
+	l.peer.mu.Lock()
+	defer l.peer.mu.Unlock()
 	if l.over || l.gaveUp {
 		return
 	}
+	c := l.conn
 	l.gaveUp = true
 	if l.stage == NotConnected {
 		c.over(l, Answer{}, &Error{NotConnected, true, errGaveUp})
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -340,7 +340,8 @@
 	})
 	b.Peer.mu.Lock() // the connection ends before its goroutine can write
 	ends := make(chan result, 1)
-	pull := &Pull{want: Want{ID: "a1", Sort: "clip", Asset: "o"}, done: func(a Answer, err error) { ends <- result{a, err} }, size: longestHead}
+	pull := &Pull{want: Want{ID: "a1", Sort: "clip", Asset: "o"}, peer: b.Peer, size: longestHead}
+	pull.done = func(a Answer, err error) { ends <- result{a, err} }
 	b.Peer.put(pull, nil)
 	c.end(io.EOF)
 	b.Peer.mu.Unlock()
