Nine broken connections in a row make a node's failure; resets while dialling are dialled again

Logs of skips and of refusals: 5 skips of edges a director, each after three pulls in a row on connections that were reset (414 of some 9,000), then misses elsewhere, then a jam, then refusals of what waits at the gate. 59 dials were reset; each counted as a node that can't be reached, which is then asked one question at a time. At fault: logic.go, learn (three signs for Broken); back.go, end. Now a process that died is still found in three: its next connections are refused.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"tallyproxy/director"
@@ -329,11 +330,12 @@
 			break
 		}
 	}
-	silent := err == errGaveUp || err == errSilent || errors.Is(err, os.ErrDeadlineExceeded)
+	closed := c.nc != nil && err != errGaveUp && err != errSilent && !errors.Is(err, os.ErrDeadlineExceeded) ||
+		errors.Is(err, syscall.ECONNRESET) // also while it came up
 	for id, l := range c.open {
 		delete(c.open, id)
 		// The node closed the connection before it had the request, which goes over another, once.
-		if c.nc != nil && !silent && l.stage < WhollyWritten && !l.gaveUp && !l.moved && !c.p.gone {
+		if closed && l.stage < WhollyWritten && !l.gaveUp && !l.moved && !c.p.gone {
 			if l.moved = true; c.p.put(l, nil) {
 				continue
 			}
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -352,6 +352,24 @@
 	expect(t, ends, "wholly written")
 }
 
+// A connection that is reset while it comes up says no more of its node than one that is reset then: it is dialled again.
+func TestConnectionThatIsResetWhileDialling(t *testing.T) {
+	b := newBed(t, margins, 8)
+	p := b.Fleet.Peer("127.0.0.1:1")
+	ends := make(chan result, 1)
+	pull := &Pull{want: Want{ID: "a1", Sort: "clip", Asset: "o"}, peer: p, size: longestHead}
+	pull.done = func(a Answer, err error) { ends <- result{a, err} }
+	p.mu.Lock()
+	p.put(pull, nil)
+	p.addr = b.l.Addr().String() // of the second dial
+	pull.conn.end(&net.OpError{Op: "dial", Err: syscall.ECONNRESET})
+	p.mu.Unlock()
+	n := b.accept()
+	n.hears(t, "want a1")
+	io.WriteString(n, "a1 full - 0\r\n\r\n")
+	expect(t, ends, "full 0")
+}
+
 // A connection that stalls within an answer is closed; the others on it end by how far they had come.
 func TestStalledAnswer(t *testing.T) {
 	for _, text := range []string{"a1 data - 9\r\nxyz", "a1 da"} {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -517,7 +517,7 @@
 		if out.Ending == d.Unreached && e.State == d.Ready {
 			e.down, e.trial = now, true
 		}
-		if e.sign(p) >= strikes {
+		if n := e.sign(p); n >= strikes && out.Ending == d.Unreached || n >= strikes*strikes {
 			l.skip(now, e, p, d.Second)
 		} else if out.Ending == d.Broken { // the connection's fault as yet, told once: there again, but once
 			p.blameless, e.skipped = p == nt.pulls[0] || nt.pulls[len(nt.pulls)-2].edge != e, now
