--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,7 +62,6 @@
 	defer close(done)
 	go s.tidy(done)
 	for {
-		s.slot()
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return err
@@ -73,6 +72,7 @@
 			time.Sleep(span(s.margins.Retry))
 			continue
 		}
+		s.slot()
 		now := time.Now()
 		c := &Conn{s: s, nc: nc, open: map[uint64]bool{}, wake: make(chan struct{}, 1), used: now, since: now}
 		s.mu.Lock()
@@ -142,22 +142,23 @@
 }
 
 // makeRoom ends the connection that has had no open request for longest, one without a whole message so far before any
-// other. Where that one is too new to tell, it is waited for.
+// other; none that is too new to tell.
 func (s *Server) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var worst *Conn
 	var heard bool // from the worst
 	var used time.Time
+	newest := time.Now().Add(-span(s.margins.Retry))
 	for c := range s.conns {
 		c.mu.Lock()
-		if len(c.open) == 0 && len(c.queue) == 0 &&
+		if len(c.open) == 0 && len(c.queue) == 0 && c.used.Before(newest) &&
 			(worst == nil || heard && !c.heard || heard == c.heard && c.used.Before(used)) {
 			worst, heard, used = c, c.heard, c.used
 		}
 		c.mu.Unlock()
 	}
-	if worst == nil || time.Since(used) < span(s.margins.Retry) {
+	if worst == nil {
 		return false
 	}
 	worst.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -349,25 +349,47 @@
 	}
 }
 
-// Silent connections make room for those that speak, and for each other, however many come.
-func TestFloodOfSilentConnections(t *testing.T) {
-	b := serve(t, 4, 64, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 100 })
-	good := b.dial(t)
-	good.Write(frame("STATUS", "1"))
-	good.answer(t)
-	for range 40 {
-		b.dial(t)
-	}
-	late := b.dial(t)
-	for i, c := range []client{late, good} {
-		c.Write(ask("7"))
+// Connections that are silent or asked once make room for those that speak and for each other, however many come.
+func TestFloodOfConnections(t *testing.T) {
+	for _, first := range []string{"", string(frame("STATUS", "1"))} {
+		b := serve(t, 4, 64, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 100 })
+		good := b.dial(t)
+		good.Write(ask("6"))
+		open := b.next(t, 6)
+		for range 40 {
+			io.WriteString(b.dial(t), first)
+		}
+		late := b.dial(t)
+		late.Write(ask("7"))
 		b.next(t, 7).Abandon(7)
-		if got := c.answer(t); got != "7 500  " {
-			t.Errorf("client %d got %q", i, got)
+		if got := late.answer(t); got != "7 500  " {
+			t.Errorf("the late one got %q", got)
+		}
+		open.Abandon(6)
+		if got := good.answer(t); got != "6 500  " {
+			t.Errorf("the one with a request open got %q", got)
 		}
 	}
 }
 
+// Where the silent are too new to tell, one that asked and rests makes room.
+func TestRestingMakesRoomForNew(t *testing.T) {
+	b := serve(t, 3, 64, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 2 })
+	rested := b.dial(t)
+	rested.Write(frame("STATUS", "1"))
+	rested.answer(t)
+	time.Sleep(span(b.margins.Retry)) // so long must it have rested
+	b.dial(t)
+	b.dial(t)
+	eventually(t, "not all are held", func() bool { return b.Conns() == 3 })
+	begun := time.Now()
+	late := b.dial(t)
+	late.Write(frame("STATUS", "1"))
+	if got, took := late.answer(t), time.Since(begun); got != "1 serving  " || took > span(b.margins.Retry)/2 {
+		t.Errorf("got %q after %v", got, took)
+	}
+}
+
 // poor is a listener that has no descriptor left at first.
 type poor struct {
 	net.Listener
