--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,9 +27,9 @@
 	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
 	budgetPart    = 0.4           // part of a warming node's budget that the directors together use
 	checks        = 2             // how often within its target time an unanswered pull is looked at
-	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds, then
-	fillHeld      = 1             // let it fill from what the parent holds, then
-	fillAll       = 2             // from the origin too
+	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds,
+	fillHeld      = 1             // then let it fill from what the parent holds,
+	fillAll       = 2             // then from the origin too
 	memory        = 100           // pulls over which running means look back, about
 	slowPart      = 0.75          // a hit that takes more of its target time is slow
 	firstLimit    = 8             // pulls out at an edge before anything is known of it
@@ -454,16 +454,13 @@
 			l.filled(now, p, lateFill, p.deep)
 		}
 	}
-	lost := p.blameless && l.gated == 0 && l.trouble < overloadShare && now >= p.sent+3*p.target
-	if !lost {
-		if n.heard >= p.sent || n == l.origin {
-			return d.Answer{}
-		}
-		if n.unheard++; n.unheard < strikes {
-			return d.Answer{}
-		}
-		l.skip(now, n, p, d.Second)
+	if n.heard >= p.sent || n == l.origin {
+		return d.Answer{}
+	}
+	if n.unheard++; n.unheard < strikes {
+		return d.Answer{}
 	}
+	l.skip(now, n, p, d.Second)
 	p.cancelled = true
 	return d.Answer{Verb: d.Cancel, Pull: len(nt.pulls) - 1}
 }
