A client that is slow to read keeps its place while its answer is being written

Now the bytes that are not written yet count. The test fails without it: unexpected EOF in a 16 MB answer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,7 +107,7 @@
 				case c.ending:
 				case !c.since.IsZero() && now.Sub(c.since) > span(s.margins.Silent):
 					c.refuse()
-				case len(c.open) == 0 && len(c.queue) == 0 && now.Sub(c.used) > span(s.margins.Resting):
+				case len(c.open) == 0 && c.queued == 0 && now.Sub(c.used) > span(s.margins.Resting):
 					c.finish()
 				}
 				c.mu.Unlock()
@@ -152,7 +152,7 @@
 	newest := time.Now().Add(-span(s.margins.Retry))
 	for c := range s.conns {
 		c.mu.Lock()
-		if len(c.open) == 0 && len(c.queue) == 0 && c.used.Before(newest) &&
+		if len(c.open) == 0 && c.queued == 0 && c.used.Before(newest) &&
 			(worst == nil || heard && !c.heard || heard == c.heard && c.used.Before(used)) {
 			worst, heard, used = c, c.heard, c.used
 		}
@@ -163,7 +163,7 @@
 	}
 	worst.mu.Lock()
 	defer worst.mu.Unlock()
-	if len(worst.open) == 0 { // still
+	if len(worst.open) == 0 && worst.queued == 0 { // still
 		delete(s.conns, worst)
 		worst.end()
 	}
@@ -190,7 +190,7 @@
 	mu     sync.Mutex
 	open   map[uint64]bool // tags of requests that are owed an answer
 	queue  []answer
-	queued int  // bytes in it
+	queued int  // bytes in it, or being written
 	ending bool // to be shut once nothing is open or queued
 	shut   bool // the client has been told that nothing more comes; its own end is waited for
 	dead   bool
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -372,6 +372,29 @@
 	}
 }
 
+// A client that is slow to read is not at rest: its answers are not cut off to make room.
+func TestSlowReaderKeepsItsPlace(t *testing.T) {
+	b := serve(t, 2, 4096, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 100 })
+	slow := b.dial(t)
+	slow.Write(ask("1"))
+	conn := b.next(t, 1)
+	conn.Fulfil(1, b.body(16<<20), false) // more than the sockets between them hold
+	eventually(t, "the answer was not taken up", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.queue) == 0 && time.Since(conn.used) > 2*span(b.margins.Retry)
+	})
+	for range 8 {
+		b.dial(t)
+	}
+	late := b.dial(t)
+	late.Write(frame("STATUS", "1"))
+	late.answer(t)
+	if got := slow.answer(t); len(got) < 16<<20 {
+		t.Errorf("its answer has %d bytes", len(got))
+	}
+}
+
 // Where the silent are too new to tell, one that asked and rests makes room.
 func TestRestingMakesRoomForNew(t *testing.T) {
 	b := serve(t, 3, 64, 10*time.Second, func(m *director.Margins) { m.Retry = director.Second / 2 })
