--- a/cmd/tallyproxy/main.go
+++ b/cmd/tallyproxy/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
-	"log"
+	"fmt"
+	"io"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -13,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"tallyproxy/director"
 	"tallyproxy/internal/back"
 	"tallyproxy/internal/config"
@@ -21,29 +25,95 @@
 	"tallyproxy/internal/pool"
 	"tallyproxy/internal/route"
 	"tallyproxy/logic"
+	"tallyproxy/storm"
 )
 
+// flags are what the command line takes.
+type flags struct {
+	Config   string `env:"NODE_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
+	Settings string `placeholder:"FILE" help:"The operator's own settings, a Starlark script. Without it the defaults hold."`
+	Check    bool   `help:"Read both files, say what is wrong with them, and end."`
+}
+
 func main() {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	var f flags
+	kong.Parse(&f, kong.Name("tallyproxy"),
+		kong.Description("A director: routes downloads to cache nodes. NODE_NAME and NODE_LISTEN stand in for what the "+
+			"configuration lacks; SIGHUP reads both files again, SIGTERM ends it once all is answered."))
+	level := new(slog.LevelVar)
+	slog.SetDefault(slog.New(logHandler(os.Stderr, level)))
+	if f.Check {
+		if _, _, err := load(f, os.Getenv); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Println("ok")
+		return
+	}
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	if err := run(os.Getenv, stop, reload); err != nil {
-		log.Fatalf("event=failed err=%q", err)
+	if err := run(f, os.Getenv, level, stop, reload); err != nil {
+		slog.Error("failed", "err", err)
+		os.Exit(1)
+	}
+}
+
+// logHandler writes key=value lines whose message is the event.
+func logHandler(to io.Writer, level slog.Leveler) slog.Handler {
+	return slog.NewTextHandler(to, &slog.HandlerOptions{
+		Level: level,
+		ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+			switch {
+			case a.Key == slog.MessageKey && len(groups) == 0:
+				a.Key = "event"
+			case a.Key == slog.TimeKey && len(groups) == 0:
+				a.Value = slog.StringValue(a.Value.Time().UTC().Format("2006-01-02T15:04:05.000000Z"))
+			}
+			return a
+		},
+	})
+}
+
+// load reads both files whole.
+func load(f flags, getenv func(string) string) (config.Config, config.Operator, error) {
+	c, err := config.Load(func(name string) string {
+		if name == "NODE_CONFIG" && f.Config != "" {
+			return f.Config
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return c, config.Operator{}, err
+	}
+	o, err := config.LoadOperator(f.Settings)
+	if err == nil {
+		_, err = feed.New(c.Site).Known(c.Known)
 	}
+	return c, o, err
+}
+
+// options are what the operator's file says to the decisions.
+func options(o config.Operator) logic.Options {
+	return logic.Options{Storm: o.Storm, Keys: o.Keys, Told: func(_ director.Micros, r storm.Report) {
+		slog.Info("storm", "state", r.State, "demand", r.Demand, "warm", r.Warm, "asks", r.Asks, "repeats", r.Repeats,
+			"early", r.Early, "connects", r.Connects, "promised", r.Promised, "kept", r.Kept)
+	}}
 }
 
 // run serves until the signal to stop comes and all that was taken is answered.
-func run(getenv func(string) string, stop, reload <-chan os.Signal) error {
-	c, err := config.Load(getenv)
+func run(f flags, getenv func(string) string, level *slog.LevelVar, stop, reload <-chan os.Signal) error {
+	c, o, err := load(f, getenv)
 	if err != nil {
 		return err
 	}
+	level.Set(o.Log)
 	limitRuntime(c.Limits)
 	margins := logic.Margins(c.Site.Settings)
 	buffers := pool.New(c.Limits.Buffers(pool.Size))
 	fleet := back.New(buffers, margins, c.Limits.Dials())
-	router := route.New(logic.New(c.Site.Settings), margins, fleet)
+	module := logic.New(c.Site.Settings, options(o))
+	router := route.New(module, margins, fleet)
 	channel := feed.New(c.Site)
 	known, err := channel.Known(c.Known)
 	if err != nil {
@@ -60,41 +130,52 @@
 	ctx, leave := context.WithCancel(context.Background())
 	channel.Move(c.Channel)
 	go channel.Follow(ctx, margins, router.Apply)
-	log.Printf("event=started name=%s listen=%s events=%d", c.Name, c.Listen, len(known))
+	slog.Info("started", "name", c.Name, "listen", c.Listen, "events", len(known), "settings", f.Settings)
 
 	for stopping := false; !stopping; {
 		select {
 		case <-stop:
 			stopping = true
 		case <-reload:
-			next, err := c.Reload(getenv)
+			next, nextO, err := load(f, getenv)
 			if err == nil {
-				_, err = feed.New(next.Site).Known(next.Known) // what it tells comes by the channel
+				next, err = c.Follow(next)
 			}
 			if err != nil {
-				log.Printf("event=reload_refused err=%q", err)
+				slog.Warn("reload_refused", "err", err)
 				continue
 			}
-			c = next
+			c, o = next, nextO
+			level.Set(o.Log)
 			limitRuntime(c.Limits)
 			buffers.Limit(c.Limits.Buffers(pool.Size))
 			fleet.Limit(c.Limits.Dials())
 			server.Limit(c.Limits.Clients())
+			router.Do(func() { module.Use(options(o)) })
 			channel.Move(c.Channel)
-			log.Printf("event=reloaded channel=%s", c.Channel)
+			slog.Info("reloaded", "channel", c.Channel)
 		}
 	}
-	log.Printf("event=stopping open=%d", router.Open())
+	slog.Info("stopping", "open", router.Open())
 	server.Stop()
-	for until := time.Now().Add(span(margins.Linger)); time.Now().Before(until) || router.Open() > 0; {
-		time.Sleep(span(margins.Linger) / 100)
+	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. A client that goes on asking
+	// keeps the director no longer than the last that was asked in time may take.
+	linger, settle := time.Now().Add(span(margins.Linger)), o.Settle
+	if settle == 0 {
+		settle = margins.Confirm
+	}
+	for last := linger.Add(span(margins.Flush)); ; time.Sleep(span(margins.Linger) / 100) {
+		now := time.Now()
+		if now.After(last) || now.After(linger) && router.Open() == 0 && server.Quiet(span(settle)) {
+			break
+		}
 	}
 	l.Close()
 	server.Close()
 	leave()
 	fleet.Close()
 	router.Stop()
-	log.Printf("event=stopped")
+	slog.Info("stopped")
 	return nil
 }
 
--- a/cmd/tallyproxy/main_test.go
+++ b/cmd/tallyproxy/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -106,7 +107,7 @@
 	}
 	p := &proxy{l.Addr().String(), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error, 1), path}
 	go func() {
-		p.ended <- run(func(key string) string { return map[string]string{"NODE_CONFIG": path}[key] }, p.stop, p.reload)
+		p.ended <- run(flags{Config: path}, func(string) string { return "" }, new(slog.LevelVar), p.stop, p.reload)
 	}()
 	c := p.dial(t)
 	c.send("STATUS", "1", "")
@@ -370,7 +371,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if err := run(func(string) string { return path }, nil, nil); err == nil {
+		if err := run(flags{Config: path}, os.Getenv, new(slog.LevelVar), nil, nil); err == nil {
 			t.Errorf("%s was taken", text)
 		}
 	}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	start := func(s director.Settings) director.Director { return logic.New(s) }
+	start := func(s director.Settings) director.Director { return logic.New(s, logic.Options{}) }
 	if err := wire.Serve(os.Stdin, os.Stdout, start); err != nil {
 		fmt.Fprintln(os.Stderr, "wirehost:", err)
 		os.Exit(1)
--- a/director/director.go
+++ b/director/director.go
@@ -22,6 +22,8 @@
 
 	// Listed brings the list of nodes: all of it, or the changed entries alone.
 	Listed(now Micros, nodes []Node, complete bool)
+	// Connected says that a client has connected.
+	Connected(now Micros)
 	// Purged says that copies of an object, or with no object of a whole group, were void at a time.
 	Purged(now Micros, object string, group int, at Micros)
 }
@@ -143,6 +145,9 @@
 	Group   int
 	SizeKB  float64 // 0 where not told
 	Again   bool    // the client tried before, where clients say so
+	Client  uint64  // its address, as a hash; 0 where not known
+	Key     string  // of a deduped download: the same for all tries of it; empty where not told
+	Doubted bool    // what its client asked for of late was of use to no node
 	Arrived Micros
 	Leaves  Micros // the client is gone from here on
 	Over    bool   // the final answer is out, or the client has left
@@ -174,6 +179,7 @@
 	TimeOut  Micros // for this pull
 	Pull     int    // the pull to cancel
 	ComeBack Micros // with Throttle: when the client should try again
+	NoUse    bool   // with Throttle or Abandon: nodes agreed that they can't use it
 }
 
 // Ending is how a pull ended.
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -4,7 +4,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"runtime/debug"
@@ -103,7 +103,7 @@
 	if f.faults++; time.Since(f.logged) < span(f.margins.Connect) {
 		return
 	}
-	log.Printf("event=bad_answer node=%s err=%q faults=%d", addr, err, f.faults)
+	slog.Warn("bad_answer", "node", addr, "err", err, "faults", f.faults)
 	f.faults, f.logged = 0, time.Now()
 }
 
@@ -390,7 +390,7 @@
 // caught ends the connection alone where its goroutine panicked.
 func (c *conn) caught() {
 	if bad := recover(); bad != nil {
-		log.Printf("event=panic where=back node=%s err=%q stack=%q", c.p.addr, bad, debug.Stack())
+		slog.Error("panic", "where", "back", "node", c.p.addr, "err", bad, "stack", string(debug.Stack()))
 		c.p.mu.Lock()
 		c.end(fmt.Errorf("panic: %v", bad))
 		c.p.mu.Unlock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,13 +61,9 @@
 	return c, c.parse(raw)
 }
 
-// Reload reads the file again for a director that runs on c. What can't change while requests go on must be as it was;
-// the seed is for a start alone.
-func (c Config) Reload(getenv func(string) string) (Config, error) {
-	next, err := Load(getenv)
-	if err != nil {
-		return c, err
-	}
+// Follow gives the configuration that was read again for a director that runs on c. What can't change while requests go
+// on must be as it was; the seed is for a start alone.
+func (c Config) Follow(next Config) (Config, error) {
 	next.Seed, next.Site.Seed = c.Seed, c.Site.Seed
 	for _, a := range []struct {
 		key  string
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -67,7 +67,12 @@
 			if err := os.WriteFile(path, []byte(strings.Replace(good, x.old, x.new, 1)), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			next, err := c.Reload(getenv)
+			next, err := Load(getenv)
+			if err == nil {
+				next, err = c.Follow(next)
+			} else {
+				next = c
+			}
 			if x.want != "" {
 				if err == nil || !strings.Contains(err.Error(), x.want) || !reflect.DeepEqual(next, c) {
 					t.Errorf("got %v, want %s", err, x.want)
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,293 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"go.starlark.net/lib/math"
+	"go.starlark.net/resolve"
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"tallyproxy/director"
+	"tallyproxy/keys"
+	"tallyproxy/storm"
+)
+
+// Operator is what the operator's own file says: a Starlark script that calls each section's function at most once. What
+// it does not name has its default.
+type Operator struct {
+	Storm storm.Settings
+	Keys  keys.Settings
+	Log   slog.Level
+	// Settle is how long nothing must have come after the signal to stop before the director ends; 0 for the margin's
+	// figure.
+	Settle director.Micros
+}
+
+// Bounds of the script.
+const (
+	mostSteps   = 1_000_000
+	mostTime    = 2 * time.Second
+	largestFile = 1 << 20
+)
+
+// DefaultOperator is what holds without a file: fixed advice, and marks of deduped downloads.
+func DefaultOperator() Operator {
+	return Operator{Storm: storm.Defaults(), Keys: keys.Settings{Most: 4096, Remember: 20}}
+}
+
+// LoadOperator reads the file; with no path it gives the defaults. Errors name file, line and key.
+func LoadOperator(path string) (Operator, error) {
+	o := DefaultOperator()
+	if path == "" {
+		return o, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return o, err
+	}
+	if len(raw) > largestFile {
+		return o, fmt.Errorf("%s: over %d bytes", path, largestFile)
+	}
+	return o, runScript(path, raw, map[string][]key{
+		"storm": {
+			choice("mode", &o.Storm.Mode, map[string]storm.Mode{
+				"guard": storm.Guards, "fixed": storm.Fixed, "silent": storm.Silent,
+			}),
+			ratio("reach", &o.Storm.Reach, 0.1, 1),
+			count("windows", &o.Storm.Windows, 2, 1000),
+			ratio("rise", &o.Storm.Rise, 0.1, 100),
+			ratio("surge", &o.Storm.Surge, 1, 1000),
+			ratio("repeats", &o.Storm.Repeats, 0, 1),
+			ratio("cold", &o.Storm.Cold, 0, 1),
+			ratio("promise", &o.Storm.Use, 0.05, 1),
+			count("clients", &o.Storm.Memory, 64, 1<<20),
+		},
+		"keys": {
+			count("marks", &o.Keys.Most, 0, 1<<20),
+			ratio("remember", &o.Keys.Remember, 1, 1000),
+			choice("strangers", &o.Keys.Abandon, map[string]bool{"send": false, "abandon": true}),
+		},
+		"door": {timed("settle", &o.Settle, time.Millisecond, 10*time.Second)},
+		"log": {
+			choice("level", &o.Log, map[string]slog.Level{
+				"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+			}),
+		},
+	})
+}
+
+// key is one setting of a section: set takes its value, or says why it can't.
+type key struct {
+	name string
+	set  func(v starlark.Value) error
+}
+
+func ratio(name string, to *float64, least, most float64) key {
+	return key{name, func(v starlark.Value) error {
+		f, ok := starlark.AsFloat(v)
+		if !ok {
+			return fmt.Errorf("%v is no number", v)
+		}
+		if !(f >= least && f <= most) {
+			return fmt.Errorf("%v is not from %v to %v", v, least, most)
+		}
+		*to = f
+		return nil
+	}}
+}
+
+func count(name string, to *int, least, most int) key {
+	return key{name, func(v starlark.Value) error {
+		n, err := starlark.AsInt32(v)
+		if err != nil {
+			return fmt.Errorf("%v is no whole number", v)
+		}
+		if n < least || n > most {
+			return fmt.Errorf("%v is not from %d to %d", v, least, most)
+		}
+		*to = n
+		return nil
+	}}
+}
+
+// timed takes a time with its unit; a bare number is refused.
+func timed(name string, to *director.Micros, least, most time.Duration) key {
+	return key{name, func(v starlark.Value) error {
+		t, ok := v.(duration)
+		if !ok {
+			return fmt.Errorf("%v has no unit: ms(), seconds() or minutes()", v)
+		}
+		if d := time.Duration(t); d < least || d > most {
+			return fmt.Errorf("%v is not from %v to %v", d, least, most)
+		}
+		*to = director.Micros(time.Duration(t) / time.Microsecond)
+		return nil
+	}}
+}
+
+func choice[T any](name string, to *T, of map[string]T) key {
+	return key{name, func(v starlark.Value) error {
+		s, _ := starlark.AsString(v)
+		value, ok := of[s]
+		if !ok {
+			return fmt.Errorf("%v is none of %s", v, strings.Join(slices.Sorted(maps.Keys(of)), ", "))
+		}
+		*to = value
+		return nil
+	}}
+}
+
+// duration is a time with its unit.
+type duration time.Duration
+
+func (t duration) String() string        { return time.Duration(t).String() }
+func (t duration) Type() string          { return "duration" }
+func (t duration) Freeze()               {}
+func (t duration) Truth() starlark.Bool  { return t != 0 }
+func (t duration) Hash() (uint32, error) { return uint32(t) ^ uint32(t>>32), nil }
+
+// unit makes the function that gives a number its unit.
+func unit(name string, of time.Duration) *starlark.Builtin {
+	return starlark.NewBuiltin(name, func(_ *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple,
+		named []starlark.Tuple) (starlark.Value, error) {
+		if len(args) != 1 || len(named) > 0 {
+			return nil, fmt.Errorf("%s: takes one number", name)
+		}
+		f, ok := starlark.AsFloat(args[0])
+		if !ok || !(f >= 0 && f*float64(of) < 1<<62) {
+			return nil, fmt.Errorf("%s: %v can't be used here", name, args[0])
+		}
+		return duration(f * float64(of)), nil
+	})
+}
+
+// fault is an error with its place.
+type fault struct {
+	at  syntax.Position
+	err error
+}
+
+func (f fault) Error() string { return fmt.Sprintf("%s:%d: %v", f.at.Filename(), f.at.Line, f.err) }
+func (f fault) Unwrap() error { return f.err }
+
+// runScript runs a script whose calls of section functions set keys. Nothing that it does lasts but what the keys' set
+// functions do; it may load no other file.
+func runScript(path string, raw []byte, sections map[string][]key) error {
+	opts := &syntax.FileOptions{TopLevelControl: true, GlobalReassign: true, Set: true}
+	file, err := opts.Parse(path, raw, 0)
+	if err != nil {
+		return located(path, err)
+	}
+	places := keyPlaces(file)
+	env := starlark.StringDict{
+		"ms": unit("ms", time.Millisecond), "seconds": unit("seconds", time.Second),
+		"minutes": unit("minutes", time.Minute), "math": math.Module,
+	}
+	seen := map[string]syntax.Position{}
+	for name, of := range sections {
+		env[name] = starlark.NewBuiltin(name, func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple,
+			named []starlark.Tuple) (starlark.Value, error) {
+			at := t.CallFrame(1).Pos
+			if before, twice := seen[name]; twice {
+				return nil, fault{at, fmt.Errorf("%s: said before, in line %d", name, before.Line)}
+			}
+			seen[name] = at
+			if len(args) > 0 {
+				return nil, fault{at, fmt.Errorf("%s: a value without its key: %v", name, args[0])}
+			}
+			for _, pair := range named {
+				word := string(pair[0].(starlark.String))
+				where := at
+				if p, ok := places[keyPlace{at.Line, at.Col, word}]; ok {
+					where = p
+				}
+				i := slices.IndexFunc(of, func(k key) bool { return k.name == word })
+				if i < 0 {
+					return nil, fault{where, fmt.Errorf("%s.%s: an unknown key; there are %s", name, word, names(of))}
+				}
+				if err := of[i].set(pair[1]); err != nil {
+					return nil, fault{where, fmt.Errorf("%s.%s: %w", name, word, err)}
+				}
+			}
+			return starlark.None, nil
+		})
+	}
+	program, err := starlark.FileProgram(file, env.Has)
+	if err != nil {
+		return located(path, err)
+	}
+	thread := &starlark.Thread{Name: path, Print: func(_ *starlark.Thread, text string) {
+		slog.Info("script", "file", path, "says", text)
+	}}
+	thread.SetMaxExecutionSteps(mostSteps)
+	timer := time.AfterFunc(mostTime, func() { thread.Cancel(fmt.Sprintf("it runs longer than %v", mostTime)) })
+	defer timer.Stop()
+	_, err = program.Init(thread, env)
+	return located(path, err)
+}
+
+// located gives an error of the language its place.
+func located(path string, err error) error {
+	var f fault
+	var evaluated *starlark.EvalError
+	var parsed syntax.Error
+	var several resolve.ErrorList
+	switch {
+	case err == nil, errors.As(err, &f):
+		if err != nil {
+			return f
+		}
+		return nil
+	case errors.As(err, &evaluated):
+		for i := range evaluated.CallStack {
+			if frame := evaluated.CallStack.At(i); frame.Pos.Line > 0 {
+				return fault{frame.Pos, errors.New(evaluated.Msg)}
+			}
+		}
+		return fmt.Errorf("%s: %s", path, evaluated.Msg)
+	case errors.As(err, &parsed):
+		return fault{parsed.Pos, errors.New(parsed.Msg)}
+	case errors.As(err, &several) && len(several) > 0:
+		return fault{several[0].Pos, errors.New(several[0].Msg)}
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+func names(of []key) string {
+	var all []string
+	for _, k := range of {
+		all = append(all, k.name)
+	}
+	return strings.Join(all, ", ")
+}
+
+type keyPlace struct {
+	line, col int32
+	key       string
+}
+
+// keyPlaces finds where each named argument of a call stands, by the place of the call's parenthesis.
+func keyPlaces(file *syntax.File) map[keyPlace]syntax.Position {
+	places := map[keyPlace]syntax.Position{}
+	syntax.Walk(file, func(n syntax.Node) bool {
+		if call, ok := n.(*syntax.CallExpr); ok {
+			for _, arg := range call.Args {
+				if pair, ok := arg.(*syntax.BinaryExpr); ok && pair.Op == syntax.EQ {
+					if name, ok := pair.X.(*syntax.Ident); ok {
+						places[keyPlace{call.Lparen.Line, call.Lparen.Col, name.Name}] = name.NamePos
+					}
+				}
+			}
+		}
+		return true
+	})
+	return places
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -144,7 +144,7 @@
 				return nil, fmt.Errorf("cmds[%d].drop: neither id nor family", i)
 			}
 		default:
-			log.Printf("event=feed_unknown cursor=%d", cmd.Cursor)
+			slog.Warn("feed_unknown", "cursor", cmd.Cursor)
 		}
 		last = cmd.Cursor
 		events = append(events, e)
@@ -174,7 +174,7 @@
 		events, err := f.ask(call, client, url)
 		if err == nil {
 			if failed {
-				log.Printf("event=feed_back cursor=%d", f.cursor)
+				slog.Info("feed_back", "cursor", f.cursor)
 			}
 			failed = false
 			if len(events) > 0 {
@@ -185,7 +185,7 @@
 		}
 		if !failed && call.Err() == nil {
 			failed = true
-			log.Printf("event=feed_failed cursor=%d err=%q", f.cursor, err)
+			slog.Warn("feed_failed", "cursor", f.cursor, "err", err)
 		}
 		select {
 		case <-call.Done(): // the end, or another address
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,26 +5,33 @@
 import (
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tallyproxy/director"
 	"tallyproxy/internal/config"
 	"tallyproxy/internal/pool"
 )
 
-const mostOpen = 32 // requests that the protocol lets a client have open on one connection
+const (
+	mostOpen = 32 // requests that the protocol lets a client have open on one connection
+	roomPart = 32 // part of the places that are made free at a time
+)
 
 // Sink takes what clients say, from the connections' goroutines. What an Ask points to is the sink's.
 type Sink interface {
 	Ask(c *Conn, tag uint64, a Ask)
 	NeverMind(c *Conn, tag uint64)
 	Closed(c *Conn)
+	Opened(c *Conn)
 }
 
 // Server accepts connections and holds as many as it may.
@@ -35,6 +42,9 @@
 	margins  director.Margins
 	most     atomic.Int64 // connections held
 	stopping atomic.Bool
+	came     atomic.Int64  // when the last connection or the last message came, as Unix nanoseconds
+	waiting  atomic.Bool   // a connection waits for a place
+	left     chan struct{} // a connection has ended
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 	faults   int       // of clients, since one was logged
@@ -45,6 +55,7 @@
 func New(sink Sink, site config.Site, p *pool.Pool, most int, m director.Margins) *Server {
 	s := &Server{
 		sink: sink, types: map[string]*director.ContentType{}, pool: p, margins: m, conns: map[*Conn]struct{}{},
+		left: make(chan struct{}, 1),
 	}
 	for i, name := range site.Types {
 		s.types[name] = site.Settings.Types[i]
@@ -56,7 +67,7 @@
 // Limit sets how many connections may be held when another is accepted.
 func (s *Server) Limit(most int) { s.most.Store(int64(most)) }
 
-// Serve accepts until the listener is closed.
+// Serve accepts until the listener is closed. What finds no place waits, unread, behind one that was accepted.
 func (s *Server) Serve(l net.Listener) error {
 	done := make(chan struct{})
 	defer close(done)
@@ -66,31 +77,59 @@
 		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		s.came.Store(time.Now().UnixNano())
 		if err != nil { // descriptors used up, or the client left before
-			log.Printf("event=accept_failed err=%q", err)
-			s.makeRoom()
+			slog.Warn("accept_failed", "err", err)
+			s.makeRoom(1)
 			time.Sleep(span(s.margins.Retry))
 			continue
 		}
 		s.slot()
 		now := time.Now()
-		c := &Conn{s: s, nc: nc, open: map[uint64]bool{}, wake: make(chan struct{}, 1), used: now, since: now}
+		c := &Conn{
+			s: s, nc: nc, who: hostOf(nc.RemoteAddr()), open: map[uint64]bool{}, wake: make(chan struct{}, 1),
+			used: now, since: now,
+		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
+		s.sink.Opened(c)
 		go c.run()
 	}
 }
 
-// slot waits for a place for one more connection. While there is none, one without open requests makes room.
+// hostOf is a client's address without its port, as a hash.
+func hostOf(a net.Addr) uint64 {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		host = a.String()
+	}
+	return xxhash.Sum64String(host)
+}
+
+// slot waits for a place for one more connection. While there is none, some without open requests make room: a few at a
+// time, since a client that was heard is let go in peace.
 func (s *Server) slot() {
-	for s.Conns() >= int(s.most.Load()) {
-		if !s.makeRoom() {
-			time.Sleep(span(s.margins.Retry) / 8)
+	s.waiting.Store(true)
+	defer s.waiting.Store(false)
+	for {
+		most := int(s.most.Load())
+		if s.Conns() < most {
+			return
+		}
+		s.makeRoom(1 + most/roomPart)
+		select {
+		case <-s.left:
+		case <-time.After(span(s.margins.Retry) / 8):
 		}
 	}
 }
 
+// Quiet says whether no connection and no message has come for so long, and none waits for a place.
+func (s *Server) Quiet(settle time.Duration) bool {
+	return !s.waiting.Load() && time.Now().UnixNano()-s.came.Load() >= int64(settle)
+}
+
 // tidy closes connections that rest, and those on which a message does not become whole.
 func (s *Server) tidy(done <-chan struct{}) {
 	tick := time.NewTicker(span(s.margins.Silent) / 8)
@@ -141,33 +180,57 @@
 	return len(s.conns)
 }
 
-// makeRoom ends the connection that has had no open request for longest, one without a whole message so far before any
-// other; none that is too new to tell.
-func (s *Server) makeRoom() bool {
+// makeRoom ends up to so many connections that have no open request: those without a whole message so far before any
+// other, then those that have rested longest; none that is too new to tell. One that was heard is told first that nothing
+// more comes, so that its last answer is not lost, and a request that crosses the end is sent again.
+func (s *Server) makeRoom(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var worst *Conn
-	var heard bool // from the worst
-	var used time.Time
+	type rest struct {
+		c     *Conn
+		heard bool
+		used  time.Time
+	}
+	var worst []rest
+	better := func(a, b rest) int {
+		if a.heard != b.heard {
+			return bit(a.heard) - bit(b.heard)
+		}
+		return a.used.Compare(b.used)
+	}
 	newest := time.Now().Add(-span(s.margins.Retry))
 	for c := range s.conns {
 		c.mu.Lock()
-		if len(c.open) == 0 && c.queued == 0 && c.used.Before(newest) &&
-			(worst == nil || heard && !c.heard || heard == c.heard && c.used.Before(used)) {
-			worst, heard, used = c, c.heard, c.used
+		if c.ending && len(c.open) == 0 { // on its way already
+			most--
+		} else if r := (rest{c, c.heard, c.used}); len(c.open) == 0 && c.queued == 0 && c.used.Before(newest) {
+			at, _ := slices.BinarySearchFunc(worst, r, better)
+			worst = slices.Insert(worst, at, r)
+			if len(worst) > 1+int(s.most.Load())/roomPart {
+				worst = worst[:len(worst)-1]
+			}
 		}
 		c.mu.Unlock()
 	}
-	if worst == nil {
-		return false
-	}
-	worst.mu.Lock()
-	defer worst.mu.Unlock()
-	if len(worst.open) == 0 && worst.queued == 0 { // still
-		delete(s.conns, worst)
-		worst.end()
+	for _, r := range worst {
+		if most--; most < 0 {
+			return
+		}
+		c := r.c
+		c.mu.Lock()
+		if len(c.open) > 0 || c.queued > 0 { // no more
+			c.mu.Unlock()
+			continue
+		}
+		if c.heard {
+			c.hurried = true
+			c.finish()
+		} else {
+			delete(s.conns, c)
+			c.end()
+		}
+		c.mu.Unlock()
 	}
-	return true
 }
 
 // fault logs what a client did wrong: a line at a time, with the number of those that went without.
@@ -177,7 +240,7 @@
 	if s.faults++; time.Since(s.logged) < span(s.margins.Resting) {
 		return
 	}
-	log.Printf("event=%s err=%q faults=%d", event, err, s.faults)
+	slog.Warn(event, "err", err, "faults", s.faults)
 	s.faults, s.logged = 0, time.Now()
 }
 
@@ -185,20 +248,23 @@
 type Conn struct {
 	s    *Server
 	nc   net.Conn
+	who  uint64        // the client's address, as a hash
 	wake chan struct{} // there is something to write, or the end has come
 
-	mu     sync.Mutex
-	open   map[uint64]bool // tags of requests that are owed an answer
-	queue  []answer
-	queued int  // bytes in it, or being written
-	ending bool // to be shut once nothing is open or queued
-	shut   bool // the client has been told that nothing more comes; its own end is waited for
-	dead   bool
-	deaf   bool // what the client sends is no longer read
-	heard  bool // a whole message came
-	faults int
-	since  time.Time // when the message that is under way began; zero for none
-	used   time.Time
+	mu      sync.Mutex
+	open    map[uint64]bool // tags of requests that are owed an answer
+	queue   []answer
+	queued  int  // bytes in it, or being written
+	ending  bool // to be shut once nothing is open or queued
+	shut    bool // the client has been told that nothing more comes; its own end is waited for
+	dead    bool
+	deaf    bool // what the client sends is no longer read
+	heard   bool // a whole message came
+	hurried bool // its place is wanted
+	doubted bool // what was asked for of late was of use to no node
+	faults  int
+	since   time.Time // when the message that is under way began; zero for none
+	used    time.Time
 }
 
 type answer struct {
@@ -212,9 +278,21 @@
 	if same {
 		fields = "still=1"
 	}
+	c.mu.Lock()
+	c.doubted = false
+	c.mu.Unlock()
 	c.answer(tag, wordFulfilled, fields, body)
 }
 
+// Useless says that what a client asked for is of use to no node. Its next downloads cost less, until one is fulfilled; a
+// client that goes on is not listened to any more.
+func (c *Conn) Useless() {
+	c.mu.Lock()
+	c.doubted = true
+	c.mu.Unlock()
+	c.Blame(errors.New("of use to no node"))
+}
+
 // Throttle says that a new try is harmless, and when to come back.
 func (c *Conn) Throttle(tag uint64, later time.Duration) {
 	fields := ""
@@ -322,12 +400,16 @@
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
 	c.s.mu.Unlock()
+	select {
+	case c.s.left <- struct{}{}:
+	default:
+	}
 }
 
 // caught ends the connection alone where its goroutine panicked.
 func (c *Conn) caught() {
 	if bad := recover(); bad != nil {
-		log.Printf("event=panic where=front err=%q stack=%q", bad, debug.Stack())
+		slog.Error("panic", "where", "front", "err", bad, "stack", string(debug.Stack()))
 		c.Drop()
 	}
 }
@@ -401,7 +483,9 @@
 		c.open[msg.tag] = true
 	}
 	c.used, c.since, c.heard = came, time.Time{}, true
+	c.s.came.Store(came.UnixNano())
 	shut := c.shut
+	msg.ask.Doubted, msg.ask.Client = c.doubted, c.who
 	c.mu.Unlock()
 	err := error(nil)
 	if msg.verb == "ASK" {
@@ -446,7 +530,11 @@
 		c.queue = nil
 		if done && !c.dead { // closed at once, it could take the last answers with it
 			c.shut = true
-			c.nc.SetReadDeadline(time.Now().Add(span(c.s.margins.Connect)))
+			wait := c.s.margins.Connect
+			if c.hurried {
+				wait = min(wait, c.s.margins.Retry)
+			}
+			c.nc.SetReadDeadline(time.Now().Add(span(wait)))
 			if half, ok := c.nc.(*net.TCPConn); ok {
 				half.CloseWrite()
 			}
@@ -475,6 +563,13 @@
 	}
 }
 
+func bit(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 func span(t director.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
 var crlf = []byte("\r\n")
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -33,6 +33,7 @@
 func (s sink) Ask(c *Conn, tag uint64, a Ask)      { s.asks <- asked{c, tag, a} }
 func (s sink) NeverMind(_ *Conn, tag uint64)       { s.never <- tag }
 func (s sink) Closed(c *Conn)                      { s.closed <- c }
+func (s sink) Opened(*Conn)                        {}
 func (s sink) next(t *testing.T, tag uint64) *Conn { return s.at(t, tag).c }
 func (s sink) at(t *testing.T, tag uint64) (a asked) {
 	t.Helper()
--- a/internal/front/protocol.go
+++ b/internal/front/protocol.go
@@ -44,6 +44,8 @@
 	Limit     time.Duration
 	Body      *pool.Body
 	Came      time.Time
+	Client    uint64 // its address, as a hash
+	Doubted   bool   // what it asked for of late was of use to no node
 	bytes     []byte // the body, as it lies in the parser's buffer
 	malformed error
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,7 +5,7 @@
 import (
 	"container/heap"
 	"errors"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -107,6 +107,14 @@
 	}
 }
 
+// Do has the goroutine make a call between two of its own: the module is at rest then.
+func (r *Router) Do(call func()) {
+	r.do(func() {
+		defer r.caught(nil)
+		call()
+	})
+}
+
 // Stop ends Run.
 func (r *Router) Stop() { close(r.done) }
 
@@ -173,6 +181,7 @@
 		dl := &download{conn: c, tag: tag, ask: a, index: -1}
 		r.ids[a.Txn] = dl
 		dl.Type, dl.Object, dl.Part, dl.Group, dl.Again = a.Type, a.Object, a.Part, a.Group, a.Again
+		dl.Client, dl.Key, dl.Doubted = a.Client, a.Key, a.Doubted
 		dl.Arrived = r.at(a.Came)
 		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - r.margins.Answer
 		if r.downloads[c] == nil {
@@ -189,7 +198,7 @@
 // caught ends a download and its connection alone where a call about it panicked; events are of no download.
 func (r *Router) caught(dl *download) {
 	if bad := recover(); bad != nil {
-		log.Printf("event=panic where=route err=%q stack=%q", bad, debug.Stack())
+		slog.Error("panic", "where", "route", "err", bad, "stack", string(debug.Stack()))
 		if dl != nil {
 			r.finish(dl)
 			dl.conn.Drop()
@@ -197,6 +206,14 @@
 	}
 }
 
+// Opened says that a client has connected.
+func (r *Router) Opened(*front.Conn) {
+	r.do(func() {
+		defer r.caught(nil)
+		r.module.Connected(r.now())
+	})
+}
+
 // NeverMind says that a client no longer waits for a download.
 func (r *Router) NeverMind(c *front.Conn, tag uint64) {
 	r.do(func() {
@@ -253,9 +270,15 @@
 			p.GiveUp(true)
 		}
 	case director.Throttle:
+		if a.NoUse {
+			dl.conn.Useless()
+		}
 		dl.conn.Throttle(dl.tag, span(a.ComeBack))
 		r.finish(dl)
 	case director.Abandon:
+		if a.NoUse {
+			dl.conn.Useless()
+		}
 		dl.conn.Abandon(dl.tag)
 		r.finish(dl)
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -89,6 +89,8 @@
 	return s.next(fmt.Sprint("after ", out.Pull, " ", out.Ending, " ", out.Filling, " ", out.Last))
 }
 
+func (s *script) Connected(director.Micros) {}
+
 func (s *script) Wait(director.Micros, *director.Download) director.Micros { return s.wait }
 
 func (s *script) Listed(_ director.Micros, rows []director.Node, complete bool) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -23,7 +23,7 @@
 
 func serve(in string) (string, error) {
 	var out bytes.Buffer
-	err := Serve(strings.NewReader(in), &out, func(s director.Settings) director.Director { return logic.New(s) })
+	err := Serve(strings.NewReader(in), &out, func(s director.Settings) director.Director { return logic.New(s, logic.Options{}) })
 	return out.String(), err
 }
 
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -28,7 +28,7 @@
 }
 
 func newBed(s d.Settings, edges, parents int) *bed {
-	b := &bed{Logic: New(s), t: s.Types[0], now: 100 * d.Second}
+	b := &bed{Logic: New(s, Options{}), t: s.Types[0], now: 100 * d.Second}
 	var rows []d.Node
 	for i := range edges {
 		rows = append(rows, d.Node{ID: fmt.Sprint("e", i), Zone: 1})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,8 @@
 	"slices"
 
 	d "tallyproxy/director"
+	"tallyproxy/keys"
+	"tallyproxy/storm"
 )
 
 const (
@@ -122,12 +124,13 @@
 type notes struct {
 	hash   uint64
 	pulls  []*pull
-	ran    *pull    // the first pull that may have run
+	ran    *pull    // the first pull that may have run, also of the client's earlier tries
 	errs   []*pull  // ended with an error that names no cause
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
 	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
 	stale  bool     // the home was asked for an old copy
+	ask    storm.Ask
 }
 
 // Logic is one instance.
@@ -148,6 +151,15 @@
 	deep    limit                 // for those of them that may reach the origin
 	gated   d.Micros              // when a fill was last late, or held back by the gate; 0 while it is open
 	trouble float64               // share of pulls turned away or late
+	storm   *storm.Guard
+	keys    *keys.Table
+}
+
+// Options are the operator's, for the modules that this one asks.
+type Options struct {
+	Storm storm.Settings
+	Keys  keys.Settings
+	Told  func(now d.Micros, r storm.Report) // hears how storms go, where given
 }
 
 type purgeKey struct {
@@ -156,11 +168,12 @@
 }
 
 // New makes an instance.
-func New(s d.Settings) *Logic {
+func New(s d.Settings, o Options) *Logic {
 	l := &Logic{
 		s: s, works: map[*d.ContentType]*mean{}, nodes: map[string]*node{},
-		purges: map[purgeKey]d.Micros{}, missing: 0.5,
+		purges: map[purgeKey]d.Micros{}, missing: 0.5, keys: keys.New(keys.Settings{}),
 	}
+	l.Use(o)
 	l.edges.warm, l.parents.warm = s.Edge, s.Parent
 	l.part = s.LinkKB / max(s.PaceKB, 1) / float64(max(1, s.Instances))
 	l.jamSeen = max(4, firstLimit/float64(max(1, s.Instances)))
@@ -173,6 +186,12 @@
 	return l
 }
 
+// Use takes the operator's options anew. A storm under way is noticed anew; marks of keys stay.
+func (l *Logic) Use(o Options) {
+	l.storm = storm.New(o.Storm, l.s.MaxComeBack, l.s.Seed, l, o.Told)
+	l.keys.Use(o.Keys)
+}
+
 // Margins are what sockets call for, from the settings. Where few share a connection, few end with it.
 func Margins(s d.Settings) d.Margins {
 	m := d.Margins{
@@ -247,6 +266,18 @@
 		if row := l.works[dl.Type]; dl.SizeKB > 0 && l.s.PaceKB > 0 {
 			row.learn(l.work(dl))
 		}
+		nt.ask = storm.Ask{
+			Who: dl.Client, Object: nt.hash, Work: l.work(dl), Cost: 1 / l.room(dl), Again: dl.Again,
+		}
+		stranger := dl.Again && dl.Key != "" && l.keys.Stranger(dl.Type.Expiry, dl.Type.Window)
+		if m := l.keys.Find(now, dl.Key, dl.Type.Window); m != nil {
+			nt.ran = &pull{edge: &node{Node: d.Node{Zone: m.Zone, Cell: m.Cell}}, sent: m.Since, over: true}
+		} else if stranger {
+			return d.Answer{Verb: d.Abandon}
+		}
+		if !l.storm.Asked(now, &nt.ask) {
+			return l.giveUp(now, dl, nt)
+		}
 	}
 	if p := nt.last(); p != nil && !p.over {
 		return l.look(now, dl, nt, p)
@@ -282,11 +313,18 @@
 	p := nt.pulls[out.Pull]
 	p.over = true
 	l.learn(now, dl, nt, p, out)
+	ran := out.Ending != d.TurnedAway && out.Ending != d.Unreached && out.Ending != d.NeverSent &&
+		out.Ending != d.Missing
+	if !ran && dl.Key != "" {
+		l.keys.NotRun(dl.Key, p.sent)
+	}
+	if out.Ending == d.Fulfilled {
+		l.storm.Served(now, &nt.ask, now > dl.Arrived+p.target)
+	}
 	if dl.Over || out.Last {
 		return d.Answer{}
 	}
-	if out.Ending != d.TurnedAway && out.Ending != d.Unreached && out.Ending != d.NeverSent &&
-		out.Ending != d.Missing && nt.ran == nil {
+	if ran && nt.ran == nil {
 		nt.ran = p
 	}
 	if out.Ending == d.Missing && (p.ask || p.held) {
@@ -296,8 +334,11 @@
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
-	if nt.tries > furtherPulls || len(nt.errs) > 1 || len(nt.pulls) >= l.s.MostPulls || overloaded {
-		return l.giveUp(dl, nt)
+	agreed := len(nt.errs) > bit(!dl.Doubted)
+	if nt.tries > furtherPulls || agreed || len(nt.pulls) >= l.s.MostPulls || overloaded {
+		ans := l.giveUp(now, dl, nt)
+		ans.NoUse = agreed
+		return ans
 	}
 	return l.place(now, dl, nt)
 }
@@ -305,7 +346,7 @@
 // place chooses edge and source and words the pull.
 func (l *Logic) place(now d.Micros, dl *d.Download, nt *notes) d.Answer {
 	if dl.Leaves <= now {
-		return l.giveUp(dl, nt)
+		return l.giveUp(now, dl, nt)
 	}
 	p := &pull{sent: now, target: l.target(dl), work: l.work(dl)}
 	load, room, stale := l.works[dl.Type].value, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
@@ -341,13 +382,13 @@
 	if p.edge != nil && p.edge.trial && !p.fill && !p.straight && !dl.Type.PassThrough {
 		p.ask = true // a question tells soonest whether the node is back
 	}
-	if p.edge == nil {
+	if p.edge == nil || !l.keys.Room(dl.Key) {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
 		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
-		if soon && !dl.Again && !late {
+		if soon && (!dl.Again || nt.ask.Due()) && !late {
 			return d.Answer{Verb: d.Hold}
 		}
-		return l.giveUp(dl, nt)
+		return l.giveUp(now, dl, nt)
 	}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl, stale), Join: l.s.JoinFills,
@@ -371,6 +412,7 @@
 		p.source = p.edge
 	}
 	l.send(now, nt, p, load)
+	l.keys.Sent(now, dl.Key, dl.Type.Window, p.edge.Zone, p.edge.Cell)
 	ans.Node, ans.Source = &p.edge.Node, &p.source.Node
 	return ans
 }
@@ -627,15 +669,36 @@
 // cost is a download's sending time for a unit of its benefit.
 func (l *Logic) cost(dl *d.Download) float64 { return max(1, l.work(dl)) / max(dl.Type.Benefit, 1e-9) }
 
-// giveUp ends a download at once: with a throttling reply where a new try is harmless, else abandoned.
-func (l *Logic) giveUp(dl *d.Download, nt *notes) d.Answer {
-	if nt.ran != nil && (dl.Type.Repeat == d.NonRetriable ||
-		dl.Type.Repeat == d.Deduped && dl.Type.Scope != d.ScopeAll) {
+// giveUp ends a download at once: with a throttling reply where a new try is harmless, else abandoned. When
+// to come back is asked of the guard against storms; a key's window must not pass until then.
+func (l *Logic) giveUp(now d.Micros, dl *d.Download, nt *notes) d.Answer {
+	back := l.storm.Place(now, &nt.ask, min(l.s.MaxComeBack, dl.Type.TargetTime))
+	if t := dl.Type; nt.ran != nil && (t.Repeat == d.NonRetriable || t.Repeat == d.Deduped &&
+		(t.Scope != d.ScopeAll || dl.Key != "" && now+back >= nt.ran.sent+t.Window)) {
 		return d.Answer{Verb: d.Abandon}
 	}
-	return d.Answer{Verb: d.Throttle, ComeBack: min(l.s.MaxComeBack, dl.Type.TargetTime)}
+	return d.Answer{Verb: d.Throttle, ComeBack: back}
+}
+
+// Connected says that a client has connected.
+func (l *Logic) Connected(now d.Micros) { l.storm.Connected(now) }
+
+// Storm tells how storms go.
+func (l *Logic) Storm(now d.Micros) storm.Report { return l.storm.Report(now) }
+
+// Able is this director's part of what the location's ready caches can do, in transfers at full pace.
+func (l *Logic) Able(at d.Micros) (able float64) {
+	for _, n := range l.edges.ready {
+		if n.skipUntil <= at {
+			able += warmth(at, n, l.s.Edge)
+		}
+	}
+	return able * l.Full() / float64(max(1, len(l.edges.ready)))
 }
 
+// Full is what they can do when warm: the link in carries about what they miss.
+func (l *Logic) Full() float64 { return l.part / max(l.missing, 1.0/memory) }
+
 // mayRun says whether rule 2 allows a pull to a node after what may have run.
 func mayRun(now d.Micros, dl *d.Download, nt *notes, n *node) bool {
 	switch t, ran := dl.Type, nt.ran; {
--- /dev/null
+++ b/storm/guard.go
@@ -0,0 +1,444 @@
+// Package storm notices retry and reconnect storms from what one director sees by itself, and hands out times to come back
+// as places in windows of the future: as many as the caches will be able to do then. It turns a download away only where
+// the room of the present window is promised to others; all else is the limits' to decide. It does no I/O, takes the clock
+// as a value, and draws chance from the seed alone.
+//
+// How to call it: Asked hears every download once, before it is placed. Place is asked for a time when one is turned away,
+// Served hears when one was fulfilled, Connected when a client connects. Calls must not overlap.
+package storm
+
+import (
+	"math"
+
+	d "tallyproxy/director"
+)
+
+// Mode says what throttled downloads are told.
+type Mode int
+
+const (
+	Fixed  Mode = iota // the ordinary time, whatever goes on
+	Silent             // no time
+	Guards             // places, while there is a storm
+)
+
+// Settings are the operator's. Spans are parts of the longest advice that clients heed.
+type Settings struct {
+	Mode    Mode
+	Reach   float64 // how far ahead places are given
+	Windows int     // that the reach is cut into
+	Rise    float64 // work asked for over what can be done, from which a storm may rise
+	Surge   float64 // new connections over the usual that are a sign of one
+	Repeats float64 // share of marked repeats that is
+	Cold    float64 // part of their full capacity under which the caches are
+	Use     float64 // part of what can be done that is promised
+	Memory  int     // places remembered
+}
+
+// Defaults are those of an operator's file that says nothing.
+func Defaults() Settings {
+	return Settings{Reach: 1, Windows: 10, Rise: 1.25, Surge: 4, Repeats: 0.5, Cold: 0.6, Use: 0.9, Memory: 4096}
+}
+
+// Field is what the guard asks of the limits.
+type Field interface {
+	// Able is how much the location's ready caches can do for this director at a time, in transfers at full pace; 0 where
+	// that is not known.
+	Able(at d.Micros) float64
+	// Full is what they could do if all were warm.
+	Full() float64
+}
+
+// State says how a storm is going.
+type State int
+
+const (
+	Calm State = iota
+	Rising
+	Held
+	Draining
+)
+
+var states = [...]string{"calm", "rising", "held", "draining"}
+
+func (s State) String() string { return states[s] }
+
+const (
+	back       = 5    // windows over which demand is looked at, the present one too
+	firm       = 3    // windows after which a rising storm is held
+	usualOver  = 100  // windows over which the usual number of connections looks back
+	fewest     = 8    // asks under which a share of repeats says nothing
+	heeded     = 0.9  // how full a window may be for one that came at its time in vain,
+	repeated   = 0.75 // for another repeat,
+	ignored    = 0.5  // and for one of a client that comes early time and again
+	often      = 3    // times early that make it one
+	badPart    = 0.2  // of what was let in, turned away or late, from which less is promised
+	lessBy     = 0.8
+	moreBy     = 1.1
+	leastPart  = 0.125 // of what can be done
+	mostPart   = 2.0   // for caches that warm sooner than they must
+	leastKept  = 0.5   // part of the promises that are reckoned with at the least
+	singlePart = 0.4   // of the demand, from which one object is most of it
+)
+
+// Ask is one download as the guard sees it. It lives as long as the download.
+type Ask struct {
+	Who    uint64  // the client, as a hash; 0 where not known
+	Object uint64  // content type, object and part, as a hash
+	Work   float64 // sending time at full pace, µs
+	Cost   float64 // what it costs for its benefit, over what most do
+	Again  bool    // marked as a repeat
+
+	early, due, let bool
+	at              d.Micros // its place
+}
+
+// Due says whether it came at the time it was told: it counts as a first try.
+func (a *Ask) Due() bool { return a.due }
+
+// Report is how things go, for the operators.
+type Report struct {
+	State     State
+	Asks      int     // of the last windows,
+	Repeats   int     // of them marked as such,
+	Early     int     // and before their time
+	Connects  int     // new connections of the last windows
+	Demand    float64 // work asked for in them, over what could be done
+	Warm      float64 // part of full capacity
+	Promised  float64 // work promised ahead, over what can be done in the reach
+	Kept      float64 // part of the promises that clients come for
+	Part      float64 // of what can be done that is promised, as learned
+	Remembers int     // places remembered
+}
+
+// tally is what happened in one window.
+type tally struct {
+	asked, let, bad, done, due float64 // work: asked for, let in, turned away or late after that, served, come at its time
+	promised                   float64 // at the window's begin
+	asks, again, early, conns  int
+}
+
+// Guard is one instance.
+type Guard struct {
+	s     Settings
+	f     Field
+	span  d.Micros // of a window
+	reach d.Micros
+	rng   multiply
+
+	state  State
+	since  int64 // the window in which it was entered
+	below  int   // windows in a row in which demand stayed below what can be done
+	at     int64 // the present window
+	past   [back]tally
+	ahead  []float64 // promised work, by window; a ring, emptied as windows pass
+	usual  float64   // new connections of a window
+	part   float64
+	kept   float64
+	best   float64 // work done in a window, at the best lately; used where Able is not known
+	top    majority
+	places *places
+	early  *sketch
+	told   func(now d.Micros, r Report)
+}
+
+// New makes a guard for clients that heed advice up to a time; with none, or in another mode, it never sees a storm. Told,
+// where given, hears of every change of state.
+func New(s Settings, most d.Micros, seed uint64, f Field, told func(d.Micros, Report)) *Guard {
+	g := &Guard{s: s, f: f, rng: newMultiply(seed), part: 1, kept: 1, told: told}
+	g.reach = d.Micros(s.Reach * float64(most))
+	if s.Mode != Guards || g.reach <= 0 || s.Windows <= 0 || g.reach < d.Micros(s.Windows) {
+		g.s.Mode = min(s.Mode, Silent)
+		return g
+	}
+	g.span = g.reach / d.Micros(s.Windows)
+	g.ahead = make([]float64, s.Windows+2)
+	g.places, g.early = newPlaces(s.Memory), newSketch(s.Memory/4)
+	return g
+}
+
+func (g *Guard) present() *tally { return &g.past[g.at%back] }
+
+// Connected hears of a client's new connection.
+func (g *Guard) Connected(now d.Micros) {
+	if g.s.Mode != Guards {
+		return
+	}
+	g.turn(now)
+	g.present().conns++
+}
+
+// Asked hears a download, and says whether it may be placed. Where it may not, what there is room for now is promised to
+// others, or it came before its own time.
+func (g *Guard) Asked(now d.Micros, a *Ask) bool {
+	if g.s.Mode != Guards {
+		return true
+	}
+	g.turn(now)
+	t := g.present()
+	t.asks++
+	if a.Again {
+		t.again++
+		if p := g.places.find(id(a)); p != nil {
+			switch {
+			case now < p.at-g.span/4 && g.state != Calm:
+				a.early, a.at = true, p.at
+				t.early++
+				g.early.add(a.Who)
+				return false
+			case now <= p.at+2*g.span:
+				a.due = true
+				t.due += float64(p.work)
+				if w := int64(p.at / g.span); w >= g.at {
+					g.ahead[w%int64(len(g.ahead))] = max(0, g.ahead[w%int64(len(g.ahead))]-float64(p.work))
+				}
+			}
+			*p = place{}
+		}
+	}
+	t.asked += a.Work
+	g.top.add(a.Object, a.Work)
+	if g.state == Calm && g.over(now) {
+		g.enter(now, Rising)
+	}
+	if g.state >= Held && !a.due {
+		left := g.ahead[g.at%int64(len(g.ahead))] * max(leastKept, g.kept)
+		if left > 0 && t.let+left+a.Work > g.capacity(now) {
+			return false
+		}
+	}
+	t.let += a.Work
+	a.let = true
+	return true
+}
+
+// Served hears that a download was fulfilled, late or not.
+func (g *Guard) Served(now d.Micros, a *Ask, late bool) {
+	if g.s.Mode != Guards {
+		return
+	}
+	g.turn(now)
+	t := g.present()
+	if t.done += a.Work; late {
+		t.bad += a.Work
+	}
+}
+
+// Place is the time after which a download that is turned away may come back; ordinary is what it is told in calm.
+func (g *Guard) Place(now d.Micros, a *Ask, ordinary d.Micros) d.Micros {
+	if g.s.Mode == Silent {
+		return 0
+	}
+	if g.s.Mode == Fixed {
+		return ordinary
+	}
+	g.turn(now)
+	if a.let {
+		g.present().bad += a.Work
+		a.let = false
+	}
+	if g.state == Calm {
+		return ordinary
+	}
+	if !a.early {
+		a.at = g.promise(now, a)
+	}
+	return max(1, a.at-now)
+}
+
+// promise finds a place and remembers it.
+func (g *Guard) promise(now d.Micros, a *Ask) d.Micros {
+	share := min(1, max(0.5, 1/max(a.Cost, 1e-9)))
+	switch {
+	case a.due:
+		share *= heeded
+	case a.Again && g.early.count(a.Who) >= often:
+		share *= ignored
+	case a.Again:
+		share *= repeated
+	}
+	last := int64((now + g.reach) / g.span)
+	for w := g.at + 1; w < last; w++ {
+		begin := d.Micros(w) * g.span
+		if begin < now+g.span/2 { // it could hardly be there
+			continue
+		}
+		held, room := &g.ahead[w%int64(len(g.ahead))], g.room(begin)
+		if *held > 0 && *held+a.Work > room*share || room <= 0 {
+			continue
+		}
+		at := begin + d.Micros(float64(g.span)*min(1, *held/room))
+		*held += a.Work
+		g.places.put(id(a), place{at: at, work: float32(a.Work)}, now)
+		return at
+	}
+	at := now + g.reach/2 + d.Micros(g.rng.unit()*float64(g.reach/2))
+	g.places.put(id(a), place{at: at}, now)
+	return at
+}
+
+// capacity is how much work is reckoned with for the window of a time.
+func (g *Guard) capacity(at d.Micros) float64 { return g.able(at) * float64(g.span) * g.part }
+
+// room is how much may be promised of it: more where many don't come for what they were promised.
+func (g *Guard) room(at d.Micros) float64 { return g.capacity(at) * g.s.Use / max(leastKept, g.kept) }
+
+func (g *Guard) able(at d.Micros) float64 {
+	if able := g.f.Able(at); able > 0 {
+		return able
+	}
+	return g.best / float64(g.span)
+}
+
+// over says whether demand passes what can be done, with a sign of a storm. One object that is most of the demand is left
+// out of it: its home has its limit, and the others have none of it.
+func (g *Guard) over(now d.Micros) bool {
+	r := g.figures(now)
+	switch {
+	case r.Demand <= g.s.Rise:
+		return false
+	case r.Asks >= fewest && float64(r.Repeats) > g.s.Repeats*float64(r.Asks):
+		return true
+	case float64(r.Connects) > g.s.Surge*(back*g.usual+2):
+		return true
+	}
+	return r.Warm < g.s.Cold
+}
+
+// Report tells how things go at a time.
+func (g *Guard) Report(now d.Micros) Report {
+	r := g.figures(now)
+	if g.s.Mode == Guards {
+		r.Remembers = g.places.len(now)
+	}
+	return r
+}
+
+func (g *Guard) figures(now d.Micros) Report {
+	r := Report{State: g.state, Kept: g.kept, Part: g.part, Warm: 1}
+	if g.s.Mode != Guards {
+		return r
+	}
+	asked := 0.0
+	for _, t := range g.past {
+		r.Asks += t.asks
+		r.Repeats += t.again
+		r.Early += t.early
+		r.Connects += t.conns
+		asked += t.asked
+	}
+	if share := g.top.share(); share > singlePart {
+		asked *= 1 - share
+	}
+	able := g.able(now)
+	if full := g.f.Full(); full > 0 {
+		r.Warm = min(1, able/full)
+	}
+	if able > 0 {
+		r.Demand = asked / (able * back * float64(g.span))
+		for _, held := range g.ahead {
+			r.Promised += held
+		}
+		r.Promised /= able * float64(g.reach)
+	}
+	return r
+}
+
+// State says how things go.
+func (g *Guard) State() State { return g.state }
+
+func (g *Guard) enter(now d.Micros, s State) {
+	if g.state == s {
+		return
+	}
+	g.state, g.since, g.below = s, g.at, 0
+	if g.told != nil {
+		g.told(now, g.Report(now))
+	}
+}
+
+// turn closes the windows that have passed.
+func (g *Guard) turn(now d.Micros) {
+	to := int64(now / g.span)
+	if g.at == 0 || to-g.at > int64(len(g.ahead))+back { // the first call, or nothing was heard for long
+		g.past, g.at = [back]tally{}, max(g.at, to)
+		clear(g.ahead)
+		g.top = majority{}
+		g.kept, g.part, g.below = 1, 1, len(g.ahead)
+		if g.state != Calm {
+			g.enter(now, Calm)
+		}
+		return
+	}
+	for g.at < to {
+		g.closed(now)
+		g.ahead[g.at%int64(len(g.ahead))] = 0
+		g.at++
+		g.past[g.at%back] = tally{promised: g.ahead[g.at%int64(len(g.ahead))]}
+		g.top.fade()
+		if g.at%int64(8*g.s.Windows) == 0 {
+			g.early.fade()
+		}
+	}
+}
+
+// closed learns from a window that has passed.
+func (g *Guard) closed(now d.Micros) {
+	t := g.present()
+	g.best = max(g.best*(1-1.0/usualOver), t.done)
+	if g.state == Calm {
+		g.usual += (float64(t.conns) - g.usual) / usualOver
+		g.part += (1 - g.part) / usualOver
+		return
+	}
+	if t.promised > 0 {
+		g.kept += (min(1, t.due/t.promised) - g.kept) / back
+	}
+	if t.bad > badPart*t.let {
+		g.part = max(leastPart, g.part*lessBy)
+	} else if t.done > 0 {
+		g.part = min(mostPart, g.part*moreBy)
+	}
+	r := g.figures(now)
+	if g.below++; r.Demand > 1 {
+		g.below = 0
+	}
+	promised := false
+	for i, held := range g.ahead {
+		promised = promised || held > 0 && int64(i) != g.at%int64(len(g.ahead))
+	}
+	switch over := g.over(now); {
+	case g.state == Draining && over:
+		g.enter(now, Rising)
+	case g.state == Draining && g.below >= g.s.Windows && !promised:
+		g.enter(now, Calm)
+	case g.state == Rising && g.at-g.since >= firm:
+		g.enter(now, Held)
+	case g.state == Held && g.below >= g.s.Windows:
+		g.enter(now, Draining)
+	}
+}
+
+// id tells apart who asks for what.
+func id(a *Ask) uint64 { return mix(mix(a.Who)^a.Object) | 1 }
+
+// mix is the finisher of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// multiply is a multiply-with-carry generator.
+type multiply struct{ x, carry uint32 }
+
+func newMultiply(seed uint64) multiply {
+	seed = mix(seed + 0x9e3779b97f4a7c15)
+	return multiply{uint32(seed), uint32(seed>>32)%4294957664 + 1}
+}
+
+func (m *multiply) unit() float64 {
+	t := 4294957665*uint64(m.x) + uint64(m.carry)
+	m.x, m.carry = uint32(t), uint32(t>>32)
+	return float64(m.x) / (math.MaxUint32 + 1)
+}
--- /dev/null
+++ b/wheel/wheel_test.go
@@ -0,0 +1,121 @@
+package wheel
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The wheel against a plain map: what comes out, when and in which order, over puts, moves, removals and steps of all sizes.
+func TestAgainstPlain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tick := rapid.SampledFrom([]int64{1, 7, 1000}).Draw(t, "tick")
+		now := rapid.Int64Range(0, 1<<40).Draw(t, "start")
+		w := New[int](tick, now)
+		items, due := make([]*Item[int], 8), map[int]int64{}
+		for i := range items {
+			items[i] = &Item[int]{Value: i}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(items)-1).Draw(t, "item")
+			span := int64(1) << rapid.IntRange(0, 45).Draw(t, "bits")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				at := now + rapid.Int64Range(-span, span).Draw(t, "due")
+				w.Put(items[i], at)
+				due[i] = max((at+tick-1)/tick, now/tick+1)
+			case 2:
+				w.Remove(items[i])
+				delete(due, i)
+			default:
+				now += rapid.Int64Range(0, span).Draw(t, "step")
+				var want, got []int
+				for i, at := range due {
+					if at <= now/tick {
+						want = append(want, i)
+					}
+				}
+				last := int64(0)
+				w.Advance(now, func(i *Item[int]) {
+					if due[i.Value] < last || i.In() {
+						t.Fatalf("item %d, due at %d, came after one due at %d", i.Value, due[i.Value], last)
+					}
+					last = due[i.Value]
+					got = append(got, i.Value)
+				})
+				slices.Sort(want)
+				slices.Sort(got)
+				if !slices.Equal(want, got) {
+					t.Fatalf("at %d came %v, want %v", now/tick, got, want)
+				}
+				for _, i := range got {
+					delete(due, i)
+				}
+			}
+			if w.Len() != len(due) {
+				t.Fatalf("holds %d, want %d", w.Len(), len(due))
+			}
+		}
+	})
+}
+
+func TestPutWhileComingOut(t *testing.T) {
+	w := New[int](10, 0)
+	a, times := &Item[int]{}, 0
+	w.Put(a, 5)
+	w.Advance(1000, func(i *Item[int]) {
+		if times++; times < 5 {
+			w.Put(i, 0)
+		}
+	})
+	if times != 5 || w.Len() != 0 {
+		t.Errorf("came out %d times, %d left", times, w.Len())
+	}
+}
+
+type plain []*plainItem
+type plainItem struct {
+	due   int64
+	index int
+}
+
+func (p plain) Len() int           { return len(p) }
+func (p plain) Less(i, j int) bool { return p[i].due < p[j].due }
+func (p plain) Swap(i, j int)      { p[i], p[j] = p[j], p[i]; p[i].index, p[j].index = i, j }
+func (p *plain) Push(x any)        { x.(*plainItem).index = len(*p); *p = append(*p, x.(*plainItem)) }
+func (p *plain) Pop() any          { x := (*p)[len(*p)-1]; *p = (*p)[:len(*p)-1]; return x }
+
+// Timers that are moved often and seldom come to their end, as those of downloads: the wheel beside the standard heap.
+func BenchmarkTimers(b *testing.B) {
+	for _, held := range []int{1000, 100_000} {
+		name := map[int]string{1000: "held=1k", 100_000: "held=100k"}[held]
+		b.Run(name+"/wheel", func(b *testing.B) {
+			w, r := New[int](1000, 0), rand.New(rand.NewPCG(1, 2))
+			items := make([]Item[int], held)
+			for n := range b.N {
+				w.Put(&items[n%held], int64(n)+r.Int64N(6_000_000))
+				w.Advance(int64(n), func(*Item[int]) {})
+			}
+		})
+		b.Run(name+"/heap", func(b *testing.B) {
+			var h plain
+			r := rand.New(rand.NewPCG(1, 2))
+			items := make([]plainItem, held)
+			for n := range b.N {
+				i := &items[n%held]
+				i.due = int64(n) + r.Int64N(6_000_000)
+				if n < held || i.index < 0 {
+					heap.Push(&h, i)
+				} else {
+					heap.Fix(&h, i.index)
+				}
+				for h[0].due <= int64(n) {
+					heap.Pop(&h).(*plainItem).index = -1
+				}
+			}
+		})
+	}
+}
