The whole director as a package, so that the lab and tests can start it

Need: the storm lab starts directors as processes of their own, which a main package does not allow.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -483,7 +483,7 @@
 // A sink that panics ends the connection that called it, no more.
 func TestPanicEndsOneConnection(t *testing.T) {
 	b := serve(t, 4, 64, 10*time.Second)
-	b.Server.sink = panics{b.sink}
+	close(b.asks) // so that Ask panics
 	c, other := b.dial(t), b.dial(t)
 	c.Write(ask("1"))
 	get(t, b.closed)
@@ -492,7 +492,3 @@
 		t.Errorf("another connection got %q", got)
 	}
 }
-
-type panics struct{ sink }
-
-func (panics) Ask(*Conn, uint64, Ask) { panic("asked") }
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,198 @@
+// Package serve is a whole director: it wires the stages of a request together, takes signals, and ends once all that was
+// taken is answered.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"tallyproxy/director"
+	"tallyproxy/internal/back"
+	"tallyproxy/internal/config"
+	"tallyproxy/internal/feed"
+	"tallyproxy/internal/front"
+	"tallyproxy/internal/pool"
+	"tallyproxy/internal/route"
+	"tallyproxy/logic"
+	"tallyproxy/storm"
+)
+
+// flags are what the command line takes.
+type flags struct {
+	Config   string `env:"NODE_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
+	Settings string `placeholder:"FILE" help:"The operator's own settings, a Starlark script. Without it the defaults hold."`
+	Check    bool   `help:"Read both files, say what is wrong with them, and end."`
+}
+
+// Main is the command: it reads its arguments, serves, and gives the exit code.
+func Main(args []string) int {
+	var f flags
+	parser, err := kong.New(&f, kong.Name("tallyproxy"),
+		kong.Description("A director: routes downloads to cache nodes. NODE_NAME and NODE_LISTEN stand in for what the "+
+			"configuration lacks; SIGHUP reads both files again, SIGTERM ends it once all is answered."))
+	if err != nil {
+		panic(err)
+	}
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintln(os.Stderr, "tallyproxy:", err)
+		return 2
+	}
+	level := new(slog.LevelVar)
+	slog.SetDefault(slog.New(logHandler(os.Stderr, level)))
+	if f.Check {
+		if _, _, err := load(f, os.Getenv); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		fmt.Println("ok")
+		return 0
+	}
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	if err := run(f, os.Getenv, level, stop, reload); err != nil {
+		slog.Error("failed", "err", err)
+		return 1
+	}
+	return 0
+}
+
+// logHandler writes key=value lines whose message is the event.
+func logHandler(to io.Writer, level slog.Leveler) slog.Handler {
+	return slog.NewTextHandler(to, &slog.HandlerOptions{
+		Level: level,
+		ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+			switch {
+			case a.Key == slog.MessageKey && len(groups) == 0:
+				a.Key = "event"
+			case a.Key == slog.TimeKey && len(groups) == 0:
+				a.Value = slog.StringValue(a.Value.Time().UTC().Format("2006-01-02T15:04:05.000000Z"))
+			}
+			return a
+		},
+	})
+}
+
+// load reads both files whole.
+func load(f flags, getenv func(string) string) (config.Config, config.Operator, error) {
+	c, err := config.Load(func(name string) string {
+		if name == "NODE_CONFIG" && f.Config != "" {
+			return f.Config
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return c, config.Operator{}, err
+	}
+	o, err := config.LoadOperator(f.Settings)
+	if err == nil {
+		_, err = feed.New(c.Site).Known(c.Known)
+	}
+	return c, o, err
+}
+
+// options are what the operator's file says to the decisions.
+func options(o config.Operator) logic.Options {
+	return logic.Options{Storm: o.Storm, Keys: o.Keys, Told: func(_ director.Micros, r storm.Report) {
+		slog.Info("storm", "state", r.State, "demand", r.Demand, "warm", r.Warm, "asks", r.Asks, "repeats", r.Repeats,
+			"early", r.Early, "connects", r.Connects, "promised", r.Promised, "kept", r.Kept)
+	}}
+}
+
+// run serves until the signal to stop comes and all that was taken is answered.
+func run(f flags, getenv func(string) string, level *slog.LevelVar, stop, reload <-chan os.Signal) error {
+	c, o, err := load(f, getenv)
+	if err != nil {
+		return err
+	}
+	level.Set(o.Log)
+	limitRuntime(c.Limits)
+	margins := logic.Margins(c.Site.Settings)
+	buffers := pool.New(c.Limits.Buffers(pool.Size))
+	fleet := back.New(buffers, margins, c.Limits.Dials())
+	module := logic.New(c.Site.Settings, options(o))
+	router := route.New(module, margins, fleet)
+	channel := feed.New(c.Site)
+	known, err := channel.Known(c.Known)
+	if err != nil {
+		return err
+	}
+	go router.Run()
+	router.Apply(known)
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	server := front.New(router, c.Site, buffers, c.Limits.Clients(), margins)
+	go server.Serve(l)
+	ctx, leave := context.WithCancel(context.Background())
+	channel.Move(c.Channel)
+	go channel.Follow(ctx, margins, router.Apply)
+	slog.Info("started", "name", c.Name, "listen", c.Listen, "events", len(known), "settings", f.Settings)
+
+	for stopping := false; !stopping; {
+		select {
+		case <-stop:
+			stopping = true
+		case <-reload:
+			next, nextO, err := load(f, getenv)
+			if err == nil {
+				next, err = c.Follow(next)
+			}
+			if err != nil {
+				slog.Warn("reload_refused", "err", err)
+				continue
+			}
+			c, o = next, nextO
+			level.Set(o.Log)
+			limitRuntime(c.Limits)
+			buffers.Limit(c.Limits.Buffers(pool.Size))
+			fleet.Limit(c.Limits.Dials())
+			server.Limit(c.Limits.Clients())
+			router.Do(func() { module.Use(options(o)) })
+			channel.Move(c.Channel)
+			slog.Info("reloaded", "channel", c.Channel)
+		}
+	}
+	slog.Info("stopping", "open", router.Open())
+	server.Stop()
+	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. A client that goes on asking
+	// keeps the director no longer than the last that was asked in time may take.
+	linger, settle := time.Now().Add(span(margins.Linger)), o.Settle
+	if settle == 0 {
+		settle = margins.Confirm
+	}
+	for last := linger.Add(span(margins.Flush)); ; time.Sleep(span(margins.Linger) / 100) {
+		now := time.Now()
+		if now.After(last) || now.After(linger) && router.Open() == 0 && server.Quiet(span(settle)) {
+			break
+		}
+	}
+	l.Close()
+	server.Close()
+	leave()
+	fleet.Close()
+	router.Stop()
+	slog.Info("stopped")
+	return nil
+}
+
+// limitRuntime keeps Go's runtime to the machine's limits.
+func limitRuntime(l config.Limits) {
+	runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
+	debug.SetMemoryLimit(l.Memory())
+}
+
+func span(t director.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
--- a/cmd/tallyproxy/main_test.go
+++ b/internal/serve/serve_test.go
@@ -1,4 +1,4 @@
-package main
+package serve
 
 import (
 	"bufio"
