Stand-ins with a capacity, and tallylab storm that plays clients against real directors

Change: internal/standin plays caches, parents, origin, command channel and clients that keep books; internal/lab starts directors as processes; tallylab storm reports and draws.

--- /dev/null
+++ b/cmd/tallylab/main.go
@@ -0,0 +1,82 @@
+// Command tallylab plays load and experiments against directors that it starts and stand-ins of all they talk to.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"tallyproxy/internal/lab"
+)
+
+type command struct {
+	Storm stormCommand `cmd:"" help:"A storm of reconnecting and retrying clients on fresh caches."`
+}
+
+type stormCommand struct {
+	lab.Storm
+	Verbose bool `short:"v" help:"Show the directors' log."`
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Name("tallylab"), kong.Description("Load and experiments on loopback. Exit code 0: every rule "+
+		"held; 1: one broke, or it could not be played; 2: the arguments."), kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "tallylab:", err)
+		os.Exit(1)
+	}
+}
+
+// beside finds the director's program: the one that is named, or the one in this program's folder.
+func beside(named string) ([]string, error) {
+	if named == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		named = filepath.Join(filepath.Dir(self), "tallyproxy")
+	}
+	if _, err := os.Stat(named); err != nil {
+		return nil, fmt.Errorf("--director: %w; `make build` makes it", err)
+	}
+	return []string{named}, nil
+}
+
+// Run plays a storm.
+func (c *stormCommand) Run(ctx context.Context) (err error) {
+	if c.Argv, err = beside(c.DirectorAt); err != nil {
+		return err
+	}
+	if c.Verbose {
+		c.Log = os.Stderr
+	}
+	r, err := c.Play(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := lab.DrawStorm(c.Plot, r); err != nil {
+			return fmt.Errorf("--plot: %w", err)
+		}
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(r)
+	} else {
+		table, _ := json.MarshalIndent(r, "", "  ")
+		fmt.Println(strings.NewReplacer(`"`, "", ",", "", "{\n", "", "\n}", "").Replace(string(table)))
+	}
+	if broken := r.Broken(); len(broken) > 0 && err == nil {
+		return fmt.Errorf("broken: %s", strings.Join(broken, ", "))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/director.go
@@ -0,0 +1,165 @@
+// Package lab runs experiments: stand-ins, real directors as processes of their own, and a report of what came of it.
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tallyproxy/internal/standin"
+)
+
+// Director is a director as a process.
+type Director struct {
+	standin.Target
+	argv   []string
+	env    []string
+	config string
+	log    io.Writer
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan error
+	peakKB int
+}
+
+// Limits are those of a director's machine.
+type Limits struct {
+	Sockets, MemoryMB int
+	Cores             float64
+}
+
+// NewDirector writes a director's configuration into a folder; Start runs it. Argv starts it, with the path of the
+// operator's script appended where there is one.
+func NewDirector(w *standin.World, folder, name string, argv []string, script string, l Limits, log io.Writer) (*Director, error) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	addr := free.Addr().String()
+	free.Close()
+	d := &Director{argv: argv, log: log}
+	d.Addr = addr
+	d.config = filepath.Join(folder, name+".json")
+	if err := os.WriteFile(d.config, w.Config(name, addr, l.Sockets, l.MemoryMB, l.Cores), 0o600); err != nil {
+		return nil, err
+	}
+	if script != "" {
+		path := filepath.Join(folder, name+".star")
+		if err := os.WriteFile(path, []byte(script), 0o600); err != nil {
+			return nil, err
+		}
+		d.argv = append(append([]string(nil), argv...), "--settings", path)
+	}
+	d.env = append(os.Environ(), "NODE_CONFIG="+d.config)
+	return d, nil
+}
+
+// Start runs it and waits until it serves.
+func (d *Director) Start(ctx context.Context) error {
+	d.mu.Lock()
+	d.cmd = exec.Command(d.argv[0], d.argv[1:]...)
+	d.cmd.Env, d.cmd.Stdout, d.cmd.Stderr = d.env, d.log, d.log
+	err := d.cmd.Start()
+	ended := make(chan error, 1)
+	d.ended = ended
+	if err == nil {
+		cmd := d.cmd
+		go func() { ended <- cmd.Wait() }()
+	}
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	for begun := time.Now(); time.Since(begun) < 10*time.Second && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		if d.serving() {
+			d.Kill(false)
+			return nil
+		}
+		select {
+		case err := <-ended:
+			ended <- err
+			return fmt.Errorf("the director ended at its start: %v", err)
+		default:
+		}
+	}
+	return fmt.Errorf("the director at %s does not serve", d.Addr)
+}
+
+func (d *Director) serving() bool {
+	nc, err := net.Dial("tcp", d.Addr)
+	if err != nil {
+		return false
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(nc, "*2\r\n$6\r\nSTATUS\r\n$1\r\n1\r\n")
+	in := bufio.NewReader(nc)
+	for range 5 {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if strings.HasPrefix(line, "serving") {
+			return true
+		}
+	}
+	return false
+}
+
+// Signal sends it a signal.
+func (d *Director) Signal(s os.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil && d.cmd.Process != nil {
+		d.cmd.Process.Signal(s)
+	}
+}
+
+// Murder kills it outright.
+func (d *Director) Murder() {
+	d.Kill(true)
+	d.Memory()
+	d.Signal(syscall.SIGKILL)
+	<-d.ended
+}
+
+// Stop ends it with SIGTERM and waits; one that does not end in time is killed, and that is an error.
+func (d *Director) Stop() error {
+	d.Memory()
+	d.Signal(syscall.SIGTERM)
+	select {
+	case err := <-d.ended:
+		return err
+	case <-time.After(15 * time.Second):
+		d.Signal(syscall.SIGKILL)
+		<-d.ended
+		return fmt.Errorf("the director did not end on SIGTERM")
+	}
+}
+
+// Memory is the most that it has held so far, in MB.
+func (d *Director) Memory() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil || d.cmd.Process == nil {
+		return 0
+	}
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if words := strings.Fields(line); len(words) == 3 && words[0] == "VmHWM:" {
+			kb, _ := strconv.Atoi(words[1])
+			d.peakKB = max(d.peakKB, kb)
+		}
+	}
+	return float64(d.peakKB) / 1024
+}
--- /dev/null
+++ b/internal/lab/plot.go
@@ -0,0 +1,90 @@
+package lab
+
+import (
+	"image/color"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"tallyproxy/internal/standin"
+)
+
+// line is one of a plot's.
+type line struct {
+	name   string
+	colour color.Color
+	points []float64
+}
+
+var (
+	blue  = color.RGBA{R: 40, G: 90, B: 170, A: 255}
+	red   = color.RGBA{R: 190, G: 50, B: 40, A: 255}
+	green = color.RGBA{R: 40, G: 130, B: 70, A: 255}
+)
+
+func floats(series []int) []float64 {
+	out := make([]float64, len(series))
+	for i, n := range series {
+		out[i] = float64(n) / standin.Bucket.Seconds()
+	}
+	return out
+}
+
+// DrawStorm draws demand and advice over load, as PNG.
+func DrawStorm(path string, r Result) error {
+	return drawPanels(path, []panel{
+		{"downloads and advice", "a second", []line{
+			{"asked", blue, floats(r.Series.Asked)}, {"told to come", red, floats(r.Series.Advised)},
+			{"fulfilled", green, floats(r.Series.Served)},
+		}},
+		{"worst box so far, over what pushes it over", "load", []line{{"load", red, r.Series.Load}}},
+	})
+}
+
+type panel struct {
+	title, y string
+	lines    []line
+}
+
+// drawPanels draws plots one under the other; x is the time in seconds.
+func drawPanels(path string, panels []panel) error {
+	plots := make([][]*plot.Plot, len(panels))
+	for i, of := range panels {
+		p := plot.New()
+		p.Title.Text, p.X.Label.Text, p.Y.Label.Text, p.Y.Min = of.title, "seconds", of.y, 0
+		p.Legend.Top = true
+		p.Add(plotter.NewGrid())
+		for _, l := range of.lines {
+			xy := make(plotter.XYs, len(l.points))
+			for j, v := range l.points {
+				xy[j].X, xy[j].Y = float64(j)*standin.Bucket.Seconds(), v
+			}
+			drawn, err := plotter.NewLine(xy)
+			if err != nil {
+				return err
+			}
+			drawn.Color = l.colour
+			p.Add(drawn)
+			p.Legend.Add(l.name, drawn)
+		}
+		plots[i] = []*plot.Plot{p}
+	}
+	canvas := vgimg.New(18*vg.Centimeter, vg.Length(len(panels))*7*vg.Centimeter)
+	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: 4 * vg.Millimeter, PadX: 2 * vg.Millimeter}
+	for i, row := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[i][0].Draw(row[0])
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := (vgimg.PngCanvas{Canvas: canvas}).WriteTo(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,365 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tallyproxy/internal/standin"
+)
+
+// Storm is what `tallylab storm` plays.
+type Storm struct {
+	Clients    int           `default:"2000" help:"Clients that connect."`
+	Within     time.Duration `default:"1s" help:"The time within which they do."`
+	Ignore     float64       `default:"0.25" placeholder:"SHARE" help:"Share of clients that ignore the time they are told."`
+	Unmarked   float64       `default:"0" placeholder:"SHARE" help:"Share of clients that don't mark their repeats."`
+	Silent     int           `default:"0" help:"Further clients that connect and say nothing."`
+	Directors  int           `default:"3" help:"Directors."`
+	Boxes      int           `default:"8" help:"Caches."`
+	Load       float64       `default:"0.5" help:"What clients ask for once all is calm, over what warm caches can do."`
+	Day        string        `default:"storm" enum:"storm,morning,popular" help:"storm: all at once on cold caches; morning: by and by on warm ones; popular: one object on warm ones."`
+	Sockets    int           `name:"limit-sockets" default:"512" help:"Descriptors of a director."`
+	MemoryMB   int           `name:"limit-memory" default:"64" help:"Memory of a director."`
+	Trouble    []string      `placeholder:"NAME,..." enum:"drain,purge,restart,roll,reload,die,second,slow" help:"What goes wrong meanwhile: ${enum}."`
+	Guard      string        `default:"on" enum:"on,off,fixed" help:"on: places; fixed: the same time for all; off: no time."`
+	Seed       uint64        `default:"1" help:"Of clients and objects."`
+	Duration   time.Duration `default:"30s" help:"How long it goes on."`
+	Retries    int           `default:"12" help:"A client's further tries of a download, while its time lasts."`
+	Wait       time.Duration `default:"100ms" help:"Between the tries of a client with no time to wait for."`
+	Plot       string        `placeholder:"FILE.png" help:"Draw demand, advice and load over time."`
+	JSON       bool          `name:"json" help:"Print one JSON object."`
+	DirectorAt string        `name:"director" placeholder:"FILE" help:"The director's program; by default the one beside this."`
+
+	Argv []string  `kong:"-"` // starts a director
+	Log  io.Writer `kong:"-"`
+}
+
+// Result is what came of a storm.
+type Result struct {
+	Clients       int     `json:"clients"`
+	Asked         int     `json:"asked"` // downloads
+	Tries         int     `json:"tries"`
+	Fulfilled     int     `json:"fulfilled"`
+	Throttled     int     `json:"throttled"` // downloads whose last answer that was,
+	Abandoned     int     `json:"abandoned"` // or that
+	Unanswered    int     `json:"unanswered"`
+	Lost          int     `json:"lost"` // tries that were owed an answer
+	DoubleFinal   int     `json:"double_final"`
+	Wrong         int     `json:"wrong_bytes"`
+	EffectsTwice  int     `json:"effects_twice"`
+	Together      int     `json:"pulls_together"`
+	BoxesFallen   int     `json:"boxes_fallen"`
+	DrainsBroken  int     `json:"drains_broken"`
+	PurgesBroken  int     `json:"purges_broken"`
+	PeakLoad      float64 `json:"peak_load"`
+	SettleMS      int64   `json:"settle_ms"` // -1: it did not
+	WastedShare   float64 `json:"wasted_share"`
+	BenefitShare  float64 `json:"benefit_share"`
+	EarlyTries    int     `json:"early_tries"`
+	HeedersServed float64 `json:"heeders_served"` // share of their downloads
+	IgnorersServe float64 `json:"ignorers_served"`
+	KilledTries   int     `json:"killed_tries"`
+	Crashes       int     `json:"crashes"`
+	RSS           float64 `json:"rss_mb_peak"`
+	Storms        int     `json:"storms_noticed"`
+	Series        Series  `json:"-"`
+	Book          string  `json:"lost_how,omitempty"`
+}
+
+// Series is what is drawn, by bucket of the books.
+type Series struct {
+	Asked, Advised, Served []int
+	Load                   []float64
+}
+
+// Broken names the rules that broke.
+func (r Result) Broken() (rules []string) {
+	for _, x := range []struct {
+		name string
+		n    int
+	}{
+		{"lost", r.Lost}, {"double_final", r.DoubleFinal}, {"wrong_bytes", r.Wrong}, {"effects_twice", r.EffectsTwice},
+		{"pulls_together", r.Together}, {"boxes_fallen", r.BoxesFallen}, {"drains_broken", r.DrainsBroken},
+		{"purges_broken", r.PurgesBroken}, {"crashes", r.Crashes},
+	} {
+		if x.n > 0 {
+			rules = append(rules, x.name)
+		}
+	}
+	return rules
+}
+
+// Script is the operator's file for a guard's setting.
+func (s *Storm) Script() string {
+	return fmt.Sprintf("storm(mode = %q)\n", map[string]string{"on": "guard", "off": "silent", "fixed": "fixed"}[s.Guard])
+}
+
+// counter counts lines that say a storm rises.
+type counter struct {
+	mu   sync.Mutex
+	to   io.Writer
+	seen int
+}
+
+func (c *counter) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen += strings.Count(string(b), "event=storm state=rising")
+	if c.to != nil {
+		c.to.Write(b)
+	}
+	return len(b), nil
+}
+
+// Play plays it. An error is for what could not be played; broken rules stand in the result.
+func (s *Storm) Play(ctx context.Context) (r Result, err error) {
+	spec := standin.Depot(s.Boxes, s.Directors)
+	spec.Seed, spec.Cold, spec.ColdParents = s.Seed, s.Day == "storm", s.Day == "storm"
+	w, err := standin.New(spec)
+	if err != nil {
+		return r, err
+	}
+	defer w.Close()
+	zipf := standin.NewZipf(spec.Objects, spec.Zipf)
+	if s.Day != "storm" {
+		warm(w)
+	}
+	folder, err := os.MkdirTemp("", "tallylab")
+	if err != nil {
+		return r, err
+	}
+	defer os.RemoveAll(folder)
+	log := &counter{to: s.Log}
+	var directors []*Director
+	var targets []*standin.Target
+	defer func() {
+		for _, d := range directors {
+			if err := d.Stop(); err != nil {
+				r.Crashes++
+			}
+			r.RSS = max(r.RSS, math.Round(d.Memory()*10)/10)
+		}
+		r.Storms = log.seen
+	}()
+	for i := range s.Directors {
+		d, err := NewDirector(w, folder, fmt.Sprint("n", i), s.Argv, s.Script(), Limits{s.Sockets, s.MemoryMB, 1}, log)
+		if err == nil {
+			err = d.Start(ctx)
+		}
+		if err != nil {
+			return r, err
+		}
+		directors, targets = append(directors, d), append(targets, &d.Target)
+	}
+	begin := w.Now() + 50*time.Millisecond
+	ctx, leave := context.WithTimeout(ctx, s.Duration)
+	defer leave()
+	var all sync.WaitGroup
+	s.crowd(ctx, w, targets, zipf, begin, &all)
+	all.Go(func() { s.troubles(ctx, w, directors, zipf, begin, targets, &all) })
+	for tick := time.NewTicker(standin.Bucket); ctx.Err() == nil; {
+		select {
+		case <-tick.C:
+			r.Series.Load = append(r.Series.Load, peak(w))
+		case <-ctx.Done():
+			tick.Stop()
+		}
+	}
+	all.Wait()
+	s.sum(w, begin, &r)
+	return r, nil
+}
+
+// warm gives the caches and parents what they would hold after a long calm day.
+func warm(w *standin.World) {
+	for i, n := range w.Nodes {
+		if n.Kind == standin.Origin {
+			continue
+		}
+		for t := range w.Types {
+			for o := range w.Objects / 2 {
+				if n.Kind == standin.Parent || (o+i)%2 == 0 || o < 64 {
+					n.Fill(w.Object(&w.Types[t], o))
+				}
+			}
+		}
+	}
+}
+
+func peak(w *standin.World) (load float64) {
+	for _, n := range w.Nodes {
+		if p, _ := n.Peak(); n.Kind != standin.Origin {
+			load = max(load, p)
+		}
+	}
+	return load
+}
+
+// crowd starts the clients.
+func (s *Storm) crowd(ctx context.Context, w *standin.World, targets []*standin.Target, zipf *standin.Zipf,
+	begin time.Duration, all *sync.WaitGroup) {
+	r := rand.New(rand.NewPCG(s.Seed, 11))
+	mean := 0.0
+	for _, t := range w.Types {
+		mean += t.Share * t.Work.Seconds()
+	}
+	rate := s.Load * w.Box * float64(s.Boxes) / mean
+	think := time.Duration(float64(s.Clients) / rate * float64(time.Second))
+	within := s.Within
+	if s.Day != "storm" {
+		within = s.Duration / 2
+	}
+	for i := range s.Clients {
+		c := s.client(i, w, targets, zipf)
+		if c.Ignores = r.Float64() < s.Ignore; r.Float64() < s.Unmarked {
+			c.Unmarked = true
+		}
+		at := begin + time.Duration(r.Float64()*float64(within))
+		all.Go(func() {
+			if s.Day == "popular" {
+				c.Zipf = standin.NewZipf(2, 3) // one object is most of what is asked for
+			}
+			c.Live(ctx, at, think)
+		})
+	}
+	for i := range s.Silent {
+		c := s.client(s.Clients+i, w, targets, zipf)
+		all.Go(func() { c.Sit(ctx) })
+	}
+}
+
+func (s *Storm) client(i int, w *standin.World, targets []*standin.Target, zipf *standin.Zipf) *standin.Client {
+	home := i % len(targets)
+	return &standin.Client{
+		W: w, Targets: targets, Target: home, From: fmt.Sprintf("127.1.%d.%d", i/250%250, 1+i%250),
+		Retries: s.Retries, Wait: s.Wait, Rand: rand.New(rand.NewPCG(s.Seed, uint64(i)+100)), Zipf: zipf,
+	}
+}
+
+// troubles plays what goes wrong.
+func (s *Storm) troubles(ctx context.Context, w *standin.World, directors []*Director, zipf *standin.Zipf,
+	begin time.Duration, targets []*standin.Target, all *sync.WaitGroup) {
+	at := func(d time.Duration, do func()) {
+		all.Go(func() {
+			select {
+			case <-time.After(begin + d - w.Now()):
+				do()
+			case <-ctx.Done():
+			}
+		})
+	}
+	for _, t := range s.Trouble {
+		switch t {
+		case "drain":
+			at(1500*time.Millisecond, func() { w.Nodes[0].Tell("draining") })
+			at(6*time.Second, func() { w.Nodes[0].Tell("removed"); w.Nodes[0].Die() })
+		case "purge":
+			for i := range 128 {
+				at(1500*time.Millisecond+time.Duration(i)*10*time.Millisecond, func() { w.Purge("", 2*i) })
+			}
+		case "restart":
+			at(2*time.Second, func() { directors[0].Murder() })
+			at(4*time.Second, func() { directors[0].Start(ctx) })
+		case "roll":
+			at(3*time.Second, func() {
+				directors[len(directors)-1].Signal(syscall.SIGTERM)
+				<-directors[len(directors)-1].ended
+				directors[len(directors)-1].Start(ctx)
+			})
+		case "reload":
+			for i := range 5 {
+				at(time.Duration(i+1)*time.Second, func() { directors[0].Signal(syscall.SIGHUP) })
+			}
+		case "die":
+			at(3*time.Second, func() { w.Nodes[1].Die() })
+			at(6*time.Second, func() { w.Nodes[1].Start() })
+		case "slow":
+			at(2*time.Second, func() { w.Nodes[2%s.Boxes].Do(standin.Well, 4) })
+		case "second":
+			for i := range s.Clients / 2 {
+				c := s.client(s.Clients+s.Silent+i, w, targets, zipf)
+				all.Go(func() { c.Live(ctx, begin+s.Duration/3, s.Duration) })
+			}
+		}
+	}
+}
+
+// sum makes the report of the books.
+func (s *Storm) sum(w *standin.World, begin time.Duration, r *Result) {
+	r.Clients, r.SettleMS = s.Clients, -1
+	b := w.Broken()
+	r.EffectsTwice, r.BoxesFallen, r.DrainsBroken, r.Together = b.Effects, b.Fallen, b.Drains, b.Together
+	r.PeakLoad = peak(w)
+	w.Clients.Do(func(book *standin.Book) {
+		r.Lost, r.DoubleFinal, r.Wrong, r.PurgesBroken = book.Lost, book.Twice, book.Wrong, book.Old
+		r.KilledTries, r.EarlyTries = book.Killed, book.Early
+		r.Series.Asked, r.Series.Advised, r.Series.Served = book.Asked, book.Advised, book.Served
+		if len(book.LostHow) > 0 {
+			r.Book = fmt.Sprint(book.LostHow)
+		}
+		const window = time.Second
+		var begun, met []int
+		asked, had := 0.0, 0.0
+		served := [2][2]int{}
+		for _, dl := range book.Downloads {
+			r.Asked++
+			r.Tries += dl.Tries
+			asked += dl.Type.Value
+			served[bit(dl.Ignores)][1]++
+			at := int(max(0, dl.Began-begin) / window)
+			for len(begun) <= at {
+				begun, met = append(begun, 0), append(met, 0)
+			}
+			begun[at]++
+			switch {
+			case dl.Fulfilled:
+				met[at]++
+				r.Fulfilled++
+				served[bit(dl.Ignores)][0]++
+				target := dl.Type.Aim + time.Duration(dl.Type.Stretch*float64(dl.Type.Work))
+				if had += dl.Type.Value; dl.Took > target {
+					had -= 0.9 * dl.Type.Value
+				}
+			case dl.Last == "503":
+				r.Throttled++
+			case dl.Last == "":
+				r.Unanswered++
+			default:
+				r.Abandoned++
+			}
+		}
+		for i := range begun {
+			late := time.Duration(i)*window > s.Duration-7*time.Second
+			if good := func(i int) bool { return float64(met[i]) >= 0.95*float64(begun[i]) }; !late && i+1 < len(begun) &&
+				good(i) && good(i+1) && r.SettleMS < 0 {
+				r.SettleMS = int64(i) * window.Milliseconds()
+			}
+		}
+		r.BenefitShare = share(had, asked)
+		r.WastedShare = share(float64(r.Tries-r.Fulfilled), float64(r.Tries))
+		r.HeedersServed = share(float64(served[0][0]), float64(served[0][1]))
+		r.IgnorersServe = share(float64(served[1][0]), float64(served[1][1]))
+	})
+}
+
+func bit(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+func share(part, of float64) float64 {
+	if of == 0 {
+		return 0
+	}
+	return math.Round(part/of*10000) / 10000
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,341 @@
+// Package standin plays what a director talks to: cache nodes, parents, the origin, the command channel and clients, each on
+// 127.0.0.1 and a port of its own. Nodes have a capacity, warm up, keep copies, and fall over when they are pushed; all of
+// them keep books of what reached them, so that the rules can be checked from outside. Used by tests and by tallylab.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Type is a content type of the world.
+type Type struct {
+	Name        string
+	Aim         time.Duration // target time,
+	Stretch     float64       // longer by this multiple of the sending time
+	Limit       time.Duration // expiry
+	Value       float64
+	Work        time.Duration // mean sending time
+	Sigma       float64       // of its logarithm
+	Deduped     bool
+	Window      time.Duration
+	PassThrough bool
+	Share       float64 // of downloads
+}
+
+// Spec says what a world is made of. Capacities are in transfers at full pace.
+type Spec struct {
+	Seed           uint64
+	Boxes, Parents int
+	Box            float64 // what a warm cache can send
+	Link           float64 // the location's link in
+	Parent, Origin float64
+	FillPace       float64 // how much faster a fill runs than a transfer to a client
+	OriginTakes    time.Duration
+	ColdFrom       float64
+	Warm           time.Duration
+	Multiple       float64
+	ParentFrom     float64
+	ParentWarm     time.Duration
+	ParentMultiple float64
+	Window         time.Duration // pushed for so long, a cold one falls over
+	Copies         int           // that a cache holds
+	Most           float64       // requests in hand over Box from which a cache is full
+	Cold           bool          // all caches start when the world does
+	ColdParents    bool
+	Directors      int
+	MaxComeBack    time.Duration
+	Types          []Type
+	Objects        int
+	Zipf           float64
+}
+
+// Depot is a depot of a few caches after a power loss, in the figures of a usual deployment.
+func Depot(boxes, directors int) Spec {
+	box := 8.0
+	return Spec{
+		Seed: 1, Boxes: boxes, Parents: 2, Box: box, Link: box * float64(boxes) * 0.45, Parent: box * float64(boxes) * 0.6,
+		Origin: box * float64(boxes) * 0.6, FillPace: 3, OriginTakes: 40 * time.Millisecond, ColdFrom: 0.2,
+		Warm: 10 * time.Second, Multiple: 4, ParentFrom: 0.1, ParentWarm: 20 * time.Second, ParentMultiple: 2,
+		Window: 3 * time.Second, Copies: 4000, Most: 12, Cold: true, Directors: directors, MaxComeBack: time.Second,
+		Objects: 3000, Zipf: 1.05,
+		Types: []Type{
+			{Name: "thumbnail", Aim: 250 * time.Millisecond, Stretch: 2, Limit: 3 * time.Second, Value: 1,
+				Work: 50 * time.Millisecond, Sigma: 0.7, Share: 0.55},
+			{Name: "preview-clip", Aim: 400 * time.Millisecond, Stretch: 2, Limit: 6 * time.Second, Value: 2,
+				Work: 200 * time.Millisecond, Sigma: 0.8, Share: 0.42},
+			{Name: "cover-pick", Aim: 700 * time.Millisecond, Limit: 3 * time.Second, Value: 3, Deduped: true,
+				Window: 3 * time.Second, Work: 5 * time.Millisecond, Sigma: 0.3, PassThrough: true, Share: 0.03},
+		},
+	}
+}
+
+// World is all that directors talk to.
+type World struct {
+	Spec
+	Nodes   []*Node // caches, parents, then the origin
+	Clients Book
+
+	mu      sync.Mutex
+	start   time.Time
+	link    *share
+	events  []map[string]any
+	news    chan struct{} // closed with every event
+	channel net.Listener
+	server  *http.Server
+	open    map[string]int // ids out at nodes
+	effects map[string]effect
+	purged  map[string]time.Duration
+	rules   Broken
+	names   int
+}
+
+type effect struct {
+	first time.Duration
+	times int
+}
+
+// Broken counts what broke a rule, as the nodes see it.
+type Broken struct {
+	Drains   int // requests or fills at a node later than the limit after it was told to drain
+	Together int // a download's pulls out at two nodes
+	Effects  int // deduped downloads that had their effect twice
+	Fallen   int // nodes pushed over
+}
+
+const (
+	drainLimit = 1050 * time.Millisecond
+	purgeLimit = 550 * time.Millisecond
+	purgeKept  = 6 * time.Second
+	crossing   = 50 * time.Millisecond
+)
+
+// New starts a world. Close ends it.
+func New(s Spec) (*World, error) {
+	w := &World{
+		Spec: s, start: time.Now(), news: make(chan struct{}), open: map[string]int{}, effects: map[string]effect{},
+		purged: map[string]time.Duration{},
+	}
+	w.link = &share{w: w, able: func(time.Duration) float64 { return s.Link }}
+	for i := range s.Boxes {
+		if _, err := w.Add(Edge, fmt.Sprint("box-", i), s.Cold); err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Parents {
+		if _, err := w.Add(Parent, fmt.Sprint("parent-", i), s.ColdParents); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := w.Add(Origin, "origin", false); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.channel = l
+	w.server = &http.Server{Handler: http.HandlerFunc(w.next)}
+	go w.server.Serve(l)
+	return w, nil
+}
+
+// Close ends all of it.
+func (w *World) Close() {
+	w.server.Close()
+	for _, n := range w.Nodes {
+		n.Die()
+	}
+}
+
+// now is the time since the world's start.
+func (w *World) now() time.Duration { return time.Since(w.start) }
+
+// Now is the time since the world's start.
+func (w *World) Now() time.Duration { return w.now() }
+
+// Broken gives the books.
+func (w *World) Broken() Broken {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.rules
+	for _, n := range w.Nodes {
+		if n.fallen {
+			b.Fallen++
+		}
+	}
+	for _, e := range w.effects {
+		if e.times > 1 {
+			b.Effects++
+		}
+	}
+	return b
+}
+
+// tell puts an event on the command channel. The caller holds the lock.
+func (w *World) tell(event map[string]any) {
+	event["cursor"] = len(w.events) + 1
+	w.events = append(w.events, event)
+	close(w.news)
+	w.news = make(chan struct{})
+}
+
+// Purge voids the copies of an object, or with none those of a group.
+func (w *World) Purge(object string, group int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	drop := map[string]any{"when": time.Now().UnixMilli()}
+	key := "object " + object
+	if object != "" {
+		drop["id"] = object
+	} else {
+		drop["family"] = group
+		key = fmt.Sprint("group ", group)
+	}
+	w.purged[key] = w.now()
+	w.tell(map[string]any{"drop": drop})
+}
+
+// void is when copies of an object were last voided, and told of so long before a time; 0 for never.
+func (w *World) void(object string, group int, asked time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	latest := time.Duration(0)
+	for _, key := range []string{"object " + object, fmt.Sprint("group ", group)} {
+		if at := w.purged[key]; at > 0 && at+purgeLimit <= asked {
+			latest = max(latest, at)
+		}
+	}
+	return latest
+}
+
+// next answers a director once there is more than it has, or after a while.
+func (w *World) next(out http.ResponseWriter, r *http.Request) {
+	resume, _ := strconv.Atoi(r.FormValue("resume"))
+	block, _ := strconv.Atoi(r.FormValue("block"))
+	timer := time.NewTimer(time.Duration(block) * time.Millisecond)
+	defer timer.Stop()
+	w.mu.Lock()
+	for waiting := true; waiting && len(w.events) <= resume; {
+		news := w.news
+		w.mu.Unlock()
+		select {
+		case <-news:
+		case <-timer.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+		w.mu.Lock()
+	}
+	events := slices.Clone(w.events[min(max(0, resume), len(w.events)):])
+	w.mu.Unlock()
+	json.NewEncoder(out).Encode(map[string]any{"cursor": max(resume, len(w.events)), "cmds": events})
+}
+
+// Config is the platform's file for a director.
+func (w *World) Config(name, listen string, sockets, memoryMB int, cores float64) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var lanes []any
+	var maxAge, pass, parts []any
+	for _, t := range w.Types {
+		lane := map[string]any{
+			"name": t.Name, "aim": t.Aim.Milliseconds(), "aim-stretch": t.Stretch, "hard-limit": t.Limit.Milliseconds(),
+			"repeat": "free", "value": t.Value, "late-worth": 0.1,
+		}
+		if t.Deduped {
+			lane["repeat"], lane["dedup-window"], lane["dedup-scope"] = "guarded", t.Window.Milliseconds(), "all"
+		}
+		lanes = append(lanes, lane)
+		maxAge, pass, parts = append(maxAge, 0), append(pass, t.PassThrough), append(parts, false)
+	}
+	const pace = 2000.0
+	text, err := json.Marshal(map[string]any{
+		"name": name, "listen": listen, "seed": fmt.Sprintf("%016x", w.Seed), "channel": w.channel.Addr().String(),
+		"limits": map[string]any{"cores": cores, "memory_mb": memoryMB, "sockets": sockets},
+		"known":  map[string]any{"cursor": len(w.events), "cmds": w.events},
+		"settings": map[string]any{
+			"zone": 1, "zones": []string{"hub", "town"}, "machine-types": []string{"edge", "parent", "origin"}, "lanes": lanes,
+			"contract": map[string]any{"cold": w.Warm.Milliseconds(), "cold-from": w.ColdFrom, "grace-to-answer": 8,
+				"overload-for": w.Window.Milliseconds(), "tip-multiple": w.Multiple, "stop-sending-within": 1000},
+			"limits": map[string]any{"cancel": true, "try-limit": 8, "retry-after": true,
+				"max-retry-after": w.MaxComeBack.Milliseconds(), "connect-timeout": 400, "keepalive": 30000,
+				"max-streams": 100},
+			"specifics": map[string]any{"origin-kind": 2, "shield-kind": 1, "max-age": maxAge, "goes-through": pass,
+				"in-pieces": parts, "note-level": "all", "shares-fills": true, "purge-grace": 500,
+				"gone-everywhere": purgeKept.Milliseconds(), "pace-kb-per-s": pace,
+				"pipe-kb-per-s": []float64{0, w.Link * pace}, "count-by-zone": []int{0, w.Directors},
+				"parent-cold-from": w.ParentFrom, "parent-warms-in": w.ParentWarm.Milliseconds(),
+				"parent-fall-multiple": w.ParentMultiple},
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// Object is one that clients ask for.
+type Object struct {
+	Type  *Type
+	ID    string
+	Group int
+}
+
+// work is an object's sending time at full pace, µs: the same wherever it is asked for.
+func (w *World) work(t *Type, object string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(object))
+	r := rand.New(rand.NewPCG(h.Sum64(), 7))
+	return float64(t.Work.Microseconds()) * math.Exp(t.Sigma*r.NormFloat64()-t.Sigma*t.Sigma/2)
+}
+
+// Draw picks an object, a popular one more often.
+func (w *World) Draw(r *rand.Rand, z *Zipf) Object {
+	t, at := &w.Types[0], r.Float64()
+	for i := range w.Types {
+		if t = &w.Types[i]; at < t.Share {
+			break
+		}
+		at -= t.Share
+	}
+	n := z.Draw(r)
+	return w.Object(t, n)
+}
+
+// Object is number n of a content type.
+func (w *World) Object(t *Type, n int) Object {
+	h := fnv.New64a()
+	fmt.Fprint(h, t.Name, n)
+	return Object{t, fmt.Sprintf("%016x", h.Sum64()), int(h.Sum64() % 256)}
+}
+
+// Zipf draws numbers from 0 by Zipf's law, for any exponent.
+type Zipf struct{ sums []float64 }
+
+// NewZipf makes one over so many numbers.
+func NewZipf(n int, exponent float64) *Zipf {
+	z := &Zipf{make([]float64, n)}
+	sum := 0.0
+	for i := range z.sums {
+		sum += math.Pow(float64(i+1), -exponent)
+		z.sums[i] = sum
+	}
+	return z
+}
+
+// Draw draws one.
+func (z *Zipf) Draw(r *rand.Rand) int {
+	at, _ := slices.BinarySearch(z.sums, r.Float64()*z.sums[len(z.sums)-1])
+	return min(at, len(z.sums)-1)
+}
