Guard: first tries before repeats, and room reckoned without what was never promised

Seen in tallylab storm, 2,000 clients on eight fresh boxes: the guard settled later than fixed advice (5 s against 4 s), as first tries were turned away for promised repeats, as standby times counted as places, and as the part that is promised fell with first tries that the limits turned away. 400 tries were lost in the listener's queue: nine connections at a time made room. Change: only repeats are turned away; promises leave room for first tries; only what was let in on a reckoning teaches it. Clients that were told to stay away make room first.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -108,7 +109,7 @@
 }
 
 // slot waits for a place for one more connection. While there is none, some without open requests make room: a few at a
-// time, since a client that was heard is let go in peace.
+// time, since where one is wanted more will be.
 func (s *Server) slot() {
 	s.waiting.Store(true)
 	defer s.waiting.Store(false)
@@ -180,56 +181,48 @@
 	return len(s.conns)
 }
 
-// makeRoom ends up to so many connections that have no open request: those without a whole message so far before any
-// other, then those that have rested longest; none that is too new to tell. One that was heard is told first that nothing
-// more comes, so that its last answer is not lost, and a request that crosses the end is sent again.
+// rest is a connection that might make room, and why.
+type rest struct {
+	c    *Conn
+	rank int // the lower, the sooner
+	used time.Time
+}
+
+// makeRoom ends up to so many connections that have no open request: first those without a whole message so far, then those
+// whose client was told to stay away, then those that have rested longest. None that is too new to tell, but where the
+// client is not to ask for a while.
 func (s *Server) makeRoom(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	type rest struct {
-		c     *Conn
-		heard bool
-		used  time.Time
-	}
+	now := time.Now()
+	newest, soon := now.Add(-span(s.margins.Retry)), now.Add(span(s.margins.Retry)/2)
 	var worst []rest
-	better := func(a, b rest) int {
-		if a.heard != b.heard {
-			return bit(a.heard) - bit(b.heard)
-		}
-		return a.used.Compare(b.used)
-	}
-	newest := time.Now().Add(-span(s.margins.Retry))
 	for c := range s.conns {
 		c.mu.Lock()
-		if c.ending && len(c.open) == 0 { // on its way already
-			most--
-		} else if r := (rest{c, c.heard, c.used}); len(c.open) == 0 && c.queued == 0 && c.used.Before(newest) {
-			at, _ := slices.BinarySearchFunc(worst, r, better)
-			worst = slices.Insert(worst, at, r)
-			if len(worst) > 1+int(s.most.Load())/roomPart {
-				worst = worst[:len(worst)-1]
+		r := rest{c, 2, c.used}
+		switch {
+		case !c.heard:
+			r.rank = 0
+		case c.away.After(soon):
+			r.rank = 1
+		}
+		if len(c.open) == 0 && c.queued == 0 && (r.rank == 1 || c.used.Before(newest)) {
+			at, _ := slices.BinarySearchFunc(worst, r, func(a, b rest) int {
+				return cmp.Or(a.rank-b.rank, a.used.Compare(b.used))
+			})
+			if worst = slices.Insert(worst, at, r); len(worst) > most {
+				worst = worst[:most]
 			}
 		}
 		c.mu.Unlock()
 	}
 	for _, r := range worst {
-		if most--; most < 0 {
-			return
-		}
-		c := r.c
-		c.mu.Lock()
-		if len(c.open) > 0 || c.queued > 0 { // no more
-			c.mu.Unlock()
-			continue
+		r.c.mu.Lock()
+		if len(r.c.open) == 0 && r.c.queued == 0 { // still
+			delete(s.conns, r.c)
+			r.c.end()
 		}
-		if c.heard {
-			c.hurried = true
-			c.finish()
-		} else {
-			delete(s.conns, c)
-			c.end()
-		}
-		c.mu.Unlock()
+		r.c.mu.Unlock()
 	}
 }
 
@@ -260,11 +253,11 @@
 	dead    bool
 	deaf    bool // what the client sends is no longer read
 	heard   bool // a whole message came
-	hurried bool // its place is wanted
 	doubted bool // what was asked for of late was of use to no node
 	faults  int
 	since   time.Time // when the message that is under way began; zero for none
 	used    time.Time
+	away    time.Time // its client was told not to come before
 }
 
 type answer struct {
@@ -297,6 +290,9 @@
 func (c *Conn) Throttle(tag uint64, later time.Duration) {
 	fields := ""
 	if later > 0 {
+		c.mu.Lock()
+		c.away = time.Now().Add(later)
+		c.mu.Unlock()
 		fields = "later=" + strconv.FormatInt(later.Milliseconds(), 10)
 	}
 	c.answer(tag, wordThrottled, fields, nil)
@@ -530,11 +526,7 @@
 		c.queue = nil
 		if done && !c.dead { // closed at once, it could take the last answers with it
 			c.shut = true
-			wait := c.s.margins.Connect
-			if c.hurried {
-				wait = min(wait, c.s.margins.Retry)
-			}
-			c.nc.SetReadDeadline(time.Now().Add(span(wait)))
+			c.nc.SetReadDeadline(time.Now().Add(span(c.s.margins.Connect)))
 			if half, ok := c.nc.(*net.TCPConn); ok {
 				half.CloseWrite()
 			}
@@ -563,13 +555,6 @@
 	}
 }
 
-func bit(on bool) int {
-	if on {
-		return 1
-	}
-	return 0
-}
-
 func span(t director.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
 var crlf = []byte("\r\n")
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -44,34 +44,36 @@
 
 // Result is what came of a storm.
 type Result struct {
-	Clients       int     `json:"clients"`
-	Asked         int     `json:"asked"` // downloads
-	Tries         int     `json:"tries"`
-	Fulfilled     int     `json:"fulfilled"`
-	Throttled     int     `json:"throttled"` // downloads whose last answer that was,
-	Abandoned     int     `json:"abandoned"` // or that
-	Unanswered    int     `json:"unanswered"`
-	Lost          int     `json:"lost"` // tries that were owed an answer
-	DoubleFinal   int     `json:"double_final"`
-	Wrong         int     `json:"wrong_bytes"`
-	EffectsTwice  int     `json:"effects_twice"`
-	Together      int     `json:"pulls_together"`
-	BoxesFallen   int     `json:"boxes_fallen"`
-	DrainsBroken  int     `json:"drains_broken"`
-	PurgesBroken  int     `json:"purges_broken"`
-	PeakLoad      float64 `json:"peak_load"`
-	SettleMS      int64   `json:"settle_ms"` // -1: it did not
-	WastedShare   float64 `json:"wasted_share"`
-	BenefitShare  float64 `json:"benefit_share"`
-	EarlyTries    int     `json:"early_tries"`
-	HeedersServed float64 `json:"heeders_served"` // share of their downloads
-	IgnorersServe float64 `json:"ignorers_served"`
-	KilledTries   int     `json:"killed_tries"`
-	Crashes       int     `json:"crashes"`
-	RSS           float64 `json:"rss_mb_peak"`
-	Storms        int     `json:"storms_noticed"`
-	Series        Series  `json:"-"`
-	Book          string  `json:"lost_how,omitempty"`
+	Clients       int       `json:"clients"`
+	Asked         int       `json:"asked"` // downloads
+	Tries         int       `json:"tries"`
+	Fulfilled     int       `json:"fulfilled"`
+	Throttled     int       `json:"throttled"` // downloads whose last answer that was,
+	Abandoned     int       `json:"abandoned"` // or that
+	Unanswered    int       `json:"unanswered"`
+	Lost          int       `json:"lost"` // tries that were owed an answer
+	DoubleFinal   int       `json:"double_final"`
+	Wrong         int       `json:"wrong_bytes"`
+	EffectsTwice  int       `json:"effects_twice"`
+	Together      int       `json:"pulls_together"`
+	BoxesFallen   int       `json:"boxes_fallen"`
+	DrainsBroken  int       `json:"drains_broken"`
+	PurgesBroken  int       `json:"purges_broken"`
+	PeakLoad      float64   `json:"peak_load"`
+	SettleMS      int64     `json:"settle_ms"` // -1: it did not
+	WastedShare   float64   `json:"wasted_share"`
+	BenefitShare  float64   `json:"benefit_share"`
+	Used          float64   `json:"boxes_used"` // work fulfilled in the first ten seconds, over what the caches could do
+	EarlyTries    int       `json:"early_tries"`
+	HeedersServed float64   `json:"heeders_served"` // share of their downloads
+	IgnorersServe float64   `json:"ignorers_served"`
+	KilledTries   int       `json:"killed_tries"`
+	Crashes       int       `json:"crashes"`
+	RSS           float64   `json:"rss_mb_peak"`
+	Storms        int       `json:"storms_noticed"`
+	Series        Series    `json:"-"`
+	Met           []float64 `json:"met"` // by second in which a download began: the share that was fulfilled
+	Book          string    `json:"lost_how,omitempty"`
 }
 
 // Series is what is drawn, by bucket of the books.
@@ -307,7 +309,7 @@
 		}
 		const window = time.Second
 		var begun, met []int
-		asked, had := 0.0, 0.0
+		asked, had, done := 0.0, 0.0, 0.0
 		served := [2][2]int{}
 		for _, dl := range book.Downloads {
 			r.Asked++
@@ -323,6 +325,9 @@
 			case dl.Fulfilled:
 				met[at]++
 				r.Fulfilled++
+				if dl.Began+dl.Took < begin+10*time.Second {
+					done += dl.Work
+				}
 				served[bit(dl.Ignores)][0]++
 				target := dl.Type.Aim + time.Duration(dl.Type.Stretch*float64(dl.Type.Work))
 				if had += dl.Type.Value; dl.Took > target {
@@ -337,12 +342,14 @@
 			}
 		}
 		for i := range begun {
+			r.Met = append(r.Met, share(float64(met[i]), float64(begun[i])))
 			late := time.Duration(i)*window > s.Duration-7*time.Second
 			if good := func(i int) bool { return float64(met[i]) >= 0.95*float64(begun[i]) }; !late && i+1 < len(begun) &&
 				good(i) && good(i+1) && r.SettleMS < 0 {
 				r.SettleMS = int64(i) * window.Milliseconds()
 			}
 		}
+		r.Used = share(done, w.Able(begin, begin+10*time.Second))
 		r.BenefitShare = share(had, asked)
 		r.WastedShare = share(float64(r.Tries-r.Fulfilled), float64(r.Tries))
 		r.HeedersServed = share(float64(served[0][0]), float64(served[0][1]))
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -24,6 +24,7 @@
 	Began     time.Duration
 	Took      time.Duration
 	Tries     int
+	Work      float64 // its sending time at full pace, µs
 	Fulfilled bool
 	Ignores   bool   // its client ignores what it is told
 	Last      string // the last answer's word; empty where there was none
@@ -254,7 +255,7 @@
 
 // Fetch asks for an object, and again where it is turned away or failed, until its time is up.
 func (c *Client) Fetch(ctx context.Context, o Object) Download {
-	dl := Download{Type: o.Type, Began: c.W.Now(), Ignores: c.Ignores}
+	dl := Download{Type: o.Type, Began: c.W.Now(), Ignores: c.Ignores, Work: c.W.work(o.Type, o.ID)}
 	key := ""
 	if o.Type.Deduped {
 		key = fmt.Sprintf("%016x%016x", c.Rand.Uint64(), c.Rand.Uint64())
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -78,7 +78,10 @@
 	n := &Node{w: w, Kind: kind, Name: name, slow: 1}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n.out = &share{w: w, able: n.able}
+	n.out = &share{w: w, pace: 1, able: n.able}
+	if kind != Edge {
+		n.out.pace = w.FillPace
+	}
 	if err := n.start(cold); err != nil {
 		return nil, err
 	}
@@ -198,6 +201,20 @@
 	return n.load.peak, n.fallen
 }
 
+// Able is the work that the caches of the world could have done between two times, µs.
+func (w *World) Able(from, to time.Duration) (work float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for at := from; at < to; at += Bucket {
+		for _, n := range w.Nodes {
+			if n.Kind == Edge && n.l != nil {
+				work += n.able(at) * float64(Bucket.Microseconds())
+			}
+		}
+	}
+	return work
+}
+
 // Asked is how many requests reached it.
 func (n *Node) Asked() int {
 	n.w.mu.Lock()
@@ -534,7 +551,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.origin().reached(work / w.FillPace)
-			w.origin().out.add(work/w.FillPace, func() {
+			w.origin().out.add(work, func() {
 				born = time.Now()
 				source.keep(key, born)
 				over()
@@ -543,8 +560,8 @@
 	} else if source.Kind == Origin {
 		born, note = time.Now(), "pulled_far"
 	}
-	source.out.add(work/w.FillPace, over)
-	w.link.add(work/w.FillPace, over)
+	source.out.add(work, over)
+	w.link.add(work, over)
 }
 
 // copy is when the copy that is held was given out by the origin; zero for none.
--- a/internal/standin/share.go
+++ b/internal/standin/share.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// share is something that transfers divide among themselves: each runs at full pace at most, and all together at what can
-// be done at the moment. The world's lock guards it.
+// share is something that transfers divide among themselves: each runs at its pace at most, and all together at what can be
+// done at the moment. The world's lock guards it.
 type share struct {
 	w    *World
-	able func(at time.Duration) float64 // transfers at full pace
+	able func(at time.Duration) float64 // transfers at a client's full pace
+	pace float64                        // how much faster than that one may run
 	jobs jobs
 	v    float64 // µs that each transfer has been given so far
 	last time.Duration
@@ -46,7 +47,7 @@
 }
 
 func (s *share) rate(now time.Duration) float64 {
-	return min(1, max(1e-6, s.able(now))/float64(max(1, len(s.jobs))))
+	return min(s.pace, max(1e-6, s.able(now))/float64(max(1, len(s.jobs))))
 }
 
 func (s *share) advance() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -125,7 +125,7 @@
 		Spec: s, start: time.Now(), news: make(chan struct{}), open: map[string]int{}, effects: map[string]effect{},
 		purged: map[string]time.Duration{},
 	}
-	w.link = &share{w: w, able: func(time.Duration) float64 { return s.Link }}
+	w.link = &share{w: w, pace: s.FillPace, able: func(time.Duration) float64 { return s.Link }}
 	for i := range s.Boxes {
 		if _, err := w.Add(Edge, fmt.Sprint("box-", i), s.Cold); err != nil {
 			return nil, err
--- a/storm/guard.go
+++ b/storm/guard.go
@@ -1,6 +1,6 @@
 // Package storm notices retry and reconnect storms from what one director sees by itself, and hands out times to come back
-// as places in windows of the future: as many as the caches will be able to do then. It turns a download away only where
-// the room of the present window is promised to others; all else is the limits' to decide. It does no I/O, takes the clock
+// as places in windows of the future: as many as the caches will be able to do then, beside first tries. It turns away only
+// repeats, before their time or where the room of the present window is promised to others; all else is the limits' to decide. It does no I/O, takes the clock
 // as a value, and draws chance from the seed alone.
 //
 // How to call it: Asked hears every download once, before it is placed. Place is asked for a time when one is turned away,
@@ -78,6 +78,9 @@
 	leastPart  = 0.125 // of what can be done
 	mostPart   = 2.0   // for caches that warm sooner than they must
 	leastKept  = 0.5   // part of the promises that are reckoned with at the least
+	leastRoom  = 0.05  // part of a window that is promised, however many first tries there are
+	slower     = 20    // windows over which the work of first tries is taken to rise,
+	faster     = 4     // and to fall: a burst is not taken for what comes after it
 	singlePart = 0.4   // of the demand, from which one object is most of it
 )
 
@@ -89,11 +92,11 @@
 	Cost   float64 // what it costs for its benefit, over what most do
 	Again  bool    // marked as a repeat
 
-	early, due, let bool
-	at              d.Micros // its place
+	early, came, due, let bool     // before its time; at its time; and it had a place; let in where room was reckoned with
+	at                    d.Micros // its place
 }
 
-// Due says whether it came at the time it was told: it counts as a first try.
+// Due says whether it came at the time of its place: it counts as a first try.
 func (a *Ask) Due() bool { return a.due }
 
 // Report is how things go, for the operators.
@@ -113,9 +116,10 @@
 
 // tally is what happened in one window.
 type tally struct {
-	asked, let, bad, done, due float64 // work: asked for, let in, turned away or late after that, served, come at its time
-	promised                   float64 // at the window's begin
-	asks, again, early, conns  int
+	asked, first, let, done, due float64 // work: asked for, by first tries, let in, served, come at its time
+	sure, bad                    float64 // let in where room was reckoned with, and of that in vain
+	promised                     float64 // at the window's begin
+	asks, again, early, conns    int
 }
 
 // Guard is one instance.
@@ -133,6 +137,7 @@
 	past   [back]tally
 	ahead  []float64 // promised work, by window; a ring, emptied as windows pass
 	usual  float64   // new connections of a window
+	first  float64   // work of first tries in a window, as it is likely to go on
 	part   float64
 	kept   float64
 	best   float64 // work done in a window, at the best lately; used where Able is not known
@@ -187,7 +192,7 @@
 				g.early.add(a.Who)
 				return false
 			case now <= p.at+2*g.span:
-				a.due = true
+				a.came, a.due = true, p.work > 0
 				t.due += float64(p.work)
 				if w := int64(p.at / g.span); w >= g.at {
 					g.ahead[w%int64(len(g.ahead))] = max(0, g.ahead[w%int64(len(g.ahead))]-float64(p.work))
@@ -196,19 +201,24 @@
 			*p = place{}
 		}
 	}
-	t.asked += a.Work
+	if t.asked += a.Work; !a.Again {
+		t.first += a.Work
+	}
 	g.top.add(a.Object, a.Work)
 	if g.state == Calm && g.over(now) {
 		g.enter(now, Rising)
 	}
-	if g.state >= Held && !a.due {
+	if a.Again && !a.due && g.state >= Held {
 		left := g.ahead[g.at%int64(len(g.ahead))] * max(leastKept, g.kept)
-		if left > 0 && t.let+left+a.Work > g.capacity(now) {
+		rest := 1 - float64(now%g.span)/float64(g.span)
+		if t.let+left+g.first*rest+a.Work > g.capacity(now) {
 			return false
 		}
 	}
 	t.let += a.Work
-	a.let = true
+	if a.let = a.Again && g.state >= Held; a.let {
+		t.sure += a.Work
+	}
 	return true
 }
 
@@ -219,7 +229,7 @@
 	}
 	g.turn(now)
 	t := g.present()
-	if t.done += a.Work; late {
+	if t.done += a.Work; late && a.let {
 		t.bad += a.Work
 	}
 }
@@ -250,7 +260,7 @@
 func (g *Guard) promise(now d.Micros, a *Ask) d.Micros {
 	share := min(1, max(0.5, 1/max(a.Cost, 1e-9)))
 	switch {
-	case a.due:
+	case a.came:
 		share *= heeded
 	case a.Again && g.early.count(a.Who) >= often:
 		share *= ignored
@@ -280,8 +290,12 @@
 // capacity is how much work is reckoned with for the window of a time.
 func (g *Guard) capacity(at d.Micros) float64 { return g.able(at) * float64(g.span) * g.part }
 
-// room is how much may be promised of it: more where many don't come for what they were promised.
-func (g *Guard) room(at d.Micros) float64 { return g.capacity(at) * g.s.Use / max(leastKept, g.kept) }
+// room is how much may be promised of it: what first tries are likely to leave, and more where many don't come for what
+// they were promised.
+func (g *Guard) room(at d.Micros) float64 {
+	all := g.capacity(at)
+	return max(all*leastRoom, all-g.first) * g.s.Use / max(leastKept, g.kept)
+}
 
 func (g *Guard) able(at d.Micros) float64 {
 	if able := g.f.Able(at); able > 0 {
@@ -386,6 +400,11 @@
 func (g *Guard) closed(now d.Micros) {
 	t := g.present()
 	g.best = max(g.best*(1-1.0/usualOver), t.done)
+	if t.first > g.first {
+		g.first += (t.first - g.first) / slower
+	} else {
+		g.first += (t.first - g.first) / faster
+	}
 	if g.state == Calm {
 		g.usual += (float64(t.conns) - g.usual) / usualOver
 		g.part += (1 - g.part) / usualOver
@@ -394,7 +413,7 @@
 	if t.promised > 0 {
 		g.kept += (min(1, t.due/t.promised) - g.kept) / back
 	}
-	if t.bad > badPart*t.let {
+	if t.bad > badPart*t.sure {
 		g.part = max(leastPart, g.part*lessBy)
 	} else if t.done > 0 {
 		g.part = min(mostPart, g.part*moreBy)
