--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # The director with the configuration of example/; start example/toy first.
 run: build
-	NODE_CONFIG=example/config.json bin/tallyproxy
+	bin/tallyproxy --config example/config.json --settings deploy/director.star
 
 fuzz:
 	go test -fuzz FuzzParser -fuzztime 30s ./internal/front
--- /dev/null
+++ b/internal/lab/storm_test.go
@@ -0,0 +1,245 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tallyproxy/internal/serve"
+	"tallyproxy/internal/standin"
+)
+
+// The test program is the director too, when a test starts it as one.
+func TestMain(m *testing.M) {
+	if os.Getenv("TALLYPROXY_TEST_DIRECTOR") != "" {
+		os.Exit(serve.Main(os.Args[1:]))
+	}
+	os.Setenv("TALLYPROXY_TEST_DIRECTOR", "1")
+	os.Exit(m.Run())
+}
+
+func argv(t *testing.T) []string {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []string{self}
+}
+
+// storms are days with clients, boxes and directors on loopback. What is looked at are the rules, which hold however fast the
+// machine is, and whether a storm was seen where there is one.
+func TestStorms(t *testing.T) {
+	cases := []struct {
+		name  string
+		storm Storm
+		calm  bool // it is no storm, and must not be taken for one
+	}{
+		{"2,000 clients within a second on fresh boxes", Storm{Clients: 2000, Ignore: 0.25}, false},
+		{"half of them ignore the advice", Storm{Clients: 500, Ignore: 0.5}, false},
+		{"all of them do", Storm{Clients: 500, Ignore: 1}, false},
+		{"none marks its repeats", Storm{Clients: 500, Ignore: 0.5, Unmarked: 1}, false},
+		{"a second storm while the first drains away", Storm{Clients: 600, Trouble: []string{"second"}}, false},
+		{"a drain and a purge in the middle", Storm{Clients: 500, Trouble: []string{"drain", "purge"}}, false},
+		{"a director killed, its clients at its neighbours", Storm{Clients: 500, Trouble: []string{"restart"}}, false},
+		{"a director rolled and another reloaded", Storm{Clients: 500, Trouble: []string{"roll", "reload"}}, false},
+		{"a box that dies, another slow, a purge", Storm{Clients: 500, Trouble: []string{"die", "slow", "purge"}}, false},
+		{"clients that say nothing among them, few places", Storm{Clients: 500, Silent: 300, Sockets: 128}, false},
+		{"a busy morning", Storm{Clients: 300, Day: "morning", Load: 0.4}, true},
+		{"one popular object", Storm{Clients: 300, Day: "popular", Load: 0.3}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := c.storm
+			s.Within, s.Seed, s.Guard, s.Argv = time.Second, 1, "on", argv(t)
+			s.Retries, s.Wait, s.MemoryMB = 12, 100*time.Millisecond, 64
+			if s.Duration = 5 * time.Second; len(s.Trouble) > 0 {
+				s.Duration = 7 * time.Second
+			}
+			if s.Directors, s.Boxes = 2, 6; s.Day == "" {
+				s.Day = "storm"
+			}
+			if s.Sockets == 0 {
+				s.Sockets = 512
+			}
+			if s.Load == 0 {
+				s.Load = 0.5
+			}
+			var log bytes.Buffer
+			s.Log = &log
+			r, err := s.Play(t.Context())
+			if err != nil {
+				t.Fatalf("%v\n%s", err, log.String())
+			}
+			if broken := r.Broken(); len(broken) > 0 || r.PeakLoad > 0.8 {
+				t.Errorf("broken: %v; %+v", broken, r)
+			}
+			if strings.Contains(log.String(), "event=panic") {
+				t.Error(log.String())
+			}
+			if r.Asked < s.Clients/2 || r.Fulfilled == 0 {
+				t.Errorf("%d asked, %d fulfilled", r.Asked, r.Fulfilled)
+			}
+			if c.calm != (r.Storms == 0) {
+				t.Errorf("%d storms noticed: %+v", r.Storms, r)
+			}
+		})
+	}
+}
+
+// bed is a world with one director for single downloads.
+type bed struct {
+	*standin.World
+	d *Director
+	c *standin.Client
+}
+
+func newBed(t *testing.T, change func(*standin.Spec), script string) *bed {
+	spec := standin.Depot(2, 1)
+	spec.Cold, spec.Parents = false, 1
+	change(&spec)
+	w, err := standin.New(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	var log bytes.Buffer
+	d, err := NewDirector(w, t.TempDir(), "n0", argv(t), script, Limits{128, 64, 1}, &log)
+	if err == nil {
+		err = d.Start(t.Context())
+	}
+	if err != nil {
+		t.Fatalf("%v\n%s", err, log.String())
+	}
+	t.Cleanup(func() {
+		if err := d.Stop(); err != nil {
+			t.Errorf("%v\n%s", err, log.String())
+		}
+	})
+	b := &bed{World: w, d: d}
+	b.c = b.client()
+	return b
+}
+
+func (b *bed) client() *standin.Client {
+	return &standin.Client{
+		W: b.World, Targets: []*standin.Target{&b.d.Target}, Retries: 5, Wait: 50 * time.Millisecond,
+		Rand: rand.New(rand.NewPCG(1, uint64(b.Now()))), Zipf: standin.NewZipf(10, 1),
+	}
+}
+
+// A cover pick whose pull ran but whose answer was lost: repeated inside its window it has its effect once, repeated after
+// more than 3 s, on another connection, it is given up and has no second effect.
+func TestCoverPickRepeatedLate(t *testing.T) {
+	b := newBed(t, func(s *standin.Spec) { s.Types[2].Limit = 20 * time.Second }, "")
+	pick := &b.Types[2]
+	for i, x := range []struct {
+		after time.Duration
+		want  string
+	}{{time.Second, "200"}, {3200 * time.Millisecond, "500"}} {
+		key := fmt.Sprintf("%032x", i+1)
+		ctx, leave := context.WithCancel(t.Context())
+		first := b.client()
+		go func() { // it leaves before the answer, which takes as long as the origin's
+			for b.Effect(key) == 0 && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			leave()
+			first.Close()
+		}()
+		first.Connect(ctx)
+		first.Ask(ctx, b.Object(pick, i), 10*time.Second, false, key)
+		if b.Effect(key) != 1 {
+			t.Fatalf("key %d: %d effects of the first try", i, b.Effect(key))
+		}
+		time.Sleep(x.after)
+		word, _, _, err := b.client().Ask(t.Context(), b.Object(pick, i), 5*time.Second, true, key)
+		if err != nil || word != x.want || b.Effect(key) != 1 {
+			t.Errorf("repeated after %v: %s, %v; %d effects", x.after, word, err, b.Effect(key))
+		}
+	}
+}
+
+// Clients whose requests are well formed but name what no node knows cost a pull each after the first, and are not listened
+// to for long; others are served.
+func TestUnknownToAllNodes(t *testing.T) {
+	b := newBed(t, func(*standin.Spec) {}, "")
+	for _, n := range b.Nodes {
+		n.Do(standin.Errs, 1)
+	}
+	asked := func() (n int) {
+		for _, x := range b.Nodes {
+			n += x.Asked()
+		}
+		return n
+	}
+	closed := 0
+	for i := range 100 {
+		if _, _, _, err := b.c.Ask(t.Context(), b.Object(&b.Types[0], i), time.Second, false, ""); err != nil {
+			closed++
+		}
+	}
+	// a connection ends after 32 of them: two pulls for the first, one for each of the others
+	if n := asked(); n < 100 || n > 100+100/32+closed+2 {
+		t.Errorf("100 downloads cost %d pulls; %d ended with their connection", n, closed)
+	}
+	for _, n := range b.Nodes {
+		n.Do(standin.Well, 1)
+	}
+	time.Sleep(1200 * time.Millisecond) // boxes that erred are asked again
+	if word, _, _, err := b.client().Ask(t.Context(), b.Object(&b.Types[0], 1), 3*time.Second, false, ""); word != "200" {
+		t.Errorf("another client: %s, %v", word, err)
+	}
+}
+
+// What waits in the listener's queue when SIGTERM comes was taken, and is answered.
+func TestQueueAtSIGTERM(t *testing.T) {
+	b := newBed(t, func(*standin.Spec) {}, "")
+	for _, n := range b.Nodes { // holds every download, so that places stay taken
+		n.Do(standin.Well, 30)
+	}
+	var all sync.WaitGroup
+	answered := make(chan string, 200)
+	for i := range 120 { // the director has 64 places
+		c := b.client()
+		all.Go(func() {
+			defer c.Close()
+			word, _, _, err := c.Ask(t.Context(), b.Object(&b.Types[1], i), 3*time.Second, false, "")
+			if err != nil {
+				word = err.Error()
+			}
+			answered <- word
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	b.d.Signal(os.Interrupt)
+	all.Wait()
+	close(answered)
+	words := map[string]int{}
+	for word := range answered {
+		words[word]++
+	}
+	if words["200"]+words["503"] != 120 {
+		t.Errorf("answered %v", words)
+	}
+}
+
+func TestDraw(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.png")
+	r := Result{Series: Series{Asked: []int{1, 2, 3}, Served: []int{1, 1}, Load: []float64{0.1, 0.5}}}
+	if err := DrawStorm(path, r); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := os.ReadFile(path); err != nil || !bytes.HasPrefix(b, []byte("\x89PNG")) {
+		t.Errorf("%.8q, %v", b, err)
+	}
+	if err := DrawStorm(filepath.Join(path, "x"), r); err == nil {
+		t.Error("drawn where nothing can be")
+	}
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -110,7 +110,7 @@
 func (n *Node) start(cold bool) error {
 	addr := n.addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = n.w.address(n.Name)
 	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -345,6 +345,9 @@
 					delete(open, r.id)
 					r.end()
 					send(out, text)
+					if n.w.Answered != nil {
+						n.w.Answered(n.Name, r.fields, text)
+					}
 				}
 			})
 		}
@@ -620,3 +623,10 @@
 	}
 	w.effects[key] = e
 }
+
+// Effect is how often a key had its effect.
+func (w *World) Effect(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.effects[key].times
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -57,6 +57,8 @@
 	Types          []Type
 	Objects        int
 	Zipf           float64
+	Listen         map[string]string // fixed addresses, by node's name or "channel"; else a free port of 127.0.0.1
+	Answered       func(node string, fields map[string]string, answer string)
 }
 
 // Depot is a depot of a few caches after a power loss, in the figures of a usual deployment.
@@ -84,6 +86,7 @@
 	Spec
 	Nodes   []*Node // caches, parents, then the origin
 	Clients Book
+	Calls   http.ServeMux // of the command channel
 
 	mu      sync.Mutex
 	start   time.Time
@@ -139,12 +142,13 @@
 	if _, err := w.Add(Origin, "origin", false); err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", w.address("channel"))
 	if err != nil {
 		return nil, err
 	}
 	w.channel = l
-	w.server = &http.Server{Handler: http.HandlerFunc(w.next)}
+	w.Calls.HandleFunc("/cmd/next", w.next)
+	w.server = &http.Server{Handler: &w.Calls}
 	go w.server.Serve(l)
 	return w, nil
 }
@@ -157,6 +161,21 @@
 	}
 }
 
+// address is where something listens.
+func (w *World) address(name string) string {
+	if addr := w.Listen[name]; addr != "" {
+		return addr
+	}
+	return "127.0.0.1:0"
+}
+
+// Node is the one of a name; nil for none.
+func (w *World) Node(name string) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.byName(name)
+}
+
 // now is the time since the world's start.
 func (w *World) now() time.Duration { return time.Since(w.start) }
 
--- a/storm/guard.go
+++ b/storm/guard.go
@@ -279,11 +279,11 @@
 		}
 		at := begin + d.Micros(float64(g.span)*min(1, *held/room))
 		*held += a.Work
-		g.places.put(id(a), place{at: at, work: float32(a.Work)}, now)
+		g.places.put(id(a), place{at: at, work: float32(a.Work)})
 		return at
 	}
 	at := now + g.reach/2 + d.Micros(g.rng.unit()*float64(g.reach/2))
-	g.places.put(id(a), place{at: at}, now)
+	g.places.put(id(a), place{at: at})
 	return at
 }
 
--- a/storm/memory.go
+++ b/storm/memory.go
@@ -29,7 +29,7 @@
 	return nil
 }
 
-func (p *places) put(id uint64, of place, now d.Micros) {
+func (p *places) put(id uint64, of place) {
 	row := p.row(id)
 	worst := &row[0]
 	for i := range row {
