The listener stays open only a moment after SIGTERM; unread bytes keep a connection

Seen in the lab: directors told to stop served on for seven seconds while clients kept asking, and connections whose bytes lay unread were reset to make room (34 of 8,000). Change: the listener closes once nothing new has come for a moment, or after as long again as downloads are taken; a connection with unread bytes is not ended.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,7 @@
 	margins  director.Margins
 	most     atomic.Int64 // connections held
 	stopping atomic.Bool
-	came     atomic.Int64  // when the last connection or the last message came, as Unix nanoseconds
+	came     atomic.Int64  // when the last connection came, as Unix nanoseconds
 	waiting  atomic.Bool   // a connection waits for a place
 	left     chan struct{} // a connection has ended
 	mu       sync.Mutex
@@ -118,7 +119,9 @@
 		if s.Conns() < most {
 			return
 		}
-		s.makeRoom(1 + most/roomPart)
+		if s.makeRoom(1+most/roomPart) > 0 {
+			continue
+		}
 		select {
 		case <-s.left:
 		case <-time.After(span(s.margins.Retry) / 8):
@@ -126,7 +129,7 @@
 	}
 }
 
-// Quiet says whether no connection and no message has come for so long, and none waits for a place.
+// Quiet says whether no connection has come for so long, and none waits for a place.
 func (s *Server) Quiet(settle time.Duration) bool {
 	return !s.waiting.Load() && time.Now().UnixNano()-s.came.Load() >= int64(settle)
 }
@@ -190,12 +193,13 @@
 
 // makeRoom ends up to so many connections that have no open request: first those without a whole message so far, then those
 // whose client was told to stay away, then those that have rested longest. None that is too new to tell, but where the
-// client is not to ask for a while.
-func (s *Server) makeRoom(most int) {
+// client is not to ask for a while. It says how many it ended.
+func (s *Server) makeRoom(most int) (ended int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	newest, soon := now.Add(-span(s.margins.Retry)), now.Add(span(s.margins.Retry)/2)
+	newestSilent := now.Add(-span(s.margins.Retry) / 2) // what a client means to ask comes with its connection, about
 	var worst []rest
 	for c := range s.conns {
 		c.mu.Lock()
@@ -206,7 +210,8 @@
 		case c.away.After(soon):
 			r.rank = 1
 		}
-		if len(c.open) == 0 && c.queued == 0 && (r.rank == 1 || c.used.Before(newest)) {
+		if len(c.open) == 0 && c.queued == 0 &&
+			(r.rank == 1 || c.used.Before(newest) || r.rank == 0 && c.used.Before(newestSilent)) {
 			at, _ := slices.BinarySearchFunc(worst, r, func(a, b rest) int {
 				return cmp.Or(a.rank-b.rank, a.used.Compare(b.used))
 			})
@@ -218,12 +223,32 @@
 	}
 	for _, r := range worst {
 		r.c.mu.Lock()
-		if len(r.c.open) == 0 && r.c.queued == 0 { // still
+		if len(r.c.open) == 0 && r.c.queued == 0 && !r.c.unread() { // still
 			delete(s.conns, r.c)
 			r.c.end()
+			ended++
 		}
 		r.c.mu.Unlock()
 	}
+	return ended
+}
+
+// unread says whether bytes have come that were not read yet: closed now, the connection would be reset over them.
+func (c *Conn) unread() (some bool) {
+	raw, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	in, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	in.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
 }
 
 // fault logs what a client did wrong: a line at a time, with the number of those that went without.
@@ -479,7 +504,6 @@
 		c.open[msg.tag] = true
 	}
 	c.used, c.since, c.heard = came, time.Time{}, true
-	c.s.came.Store(came.UnixNano())
 	shut := c.shut
 	msg.ask.Doubted, msg.ask.Client = c.doubted, c.who
 	c.mu.Unlock()
--- a/internal/lab/director.go
+++ b/internal/lab/director.go
@@ -131,6 +131,15 @@
 	d.Memory()
 	d.Signal(syscall.SIGKILL)
 	<-d.ended
+	d.ended <- nil
+}
+
+// Again starts it anew once it has ended, where the context allows.
+func (d *Director) Again(ctx context.Context) {
+	err := <-d.ended
+	if d.ended <- err; ctx.Err() == nil {
+		d.Start(context.WithoutCancel(ctx))
+	}
 }
 
 // Stop ends it with SIGTERM and waits; one that does not end in time is killed, and that is an error.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -168,19 +168,21 @@
 	}
 	slog.Info("stopping", "open", router.Open())
 	server.Stop()
-	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. A client that goes on asking
-	// keeps the director no longer than the last that was asked in time may take.
+	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. Clients that go on coming keep the
+	// listener open no longer than they are allowed to come, once more.
 	linger, settle := time.Now().Add(span(margins.Linger)), o.Settle
 	if settle == 0 {
 		settle = margins.Confirm
 	}
-	for last := linger.Add(span(margins.Flush)); ; time.Sleep(span(margins.Linger) / 100) {
-		now := time.Now()
-		if now.After(last) || now.After(linger) && router.Open() == 0 && server.Quiet(span(settle)) {
+	for last := linger.Add(span(margins.Linger)); time.Now().Before(last); time.Sleep(span(margins.Linger) / 100) {
+		if time.Now().After(linger) && server.Quiet(span(settle)) {
 			break
 		}
 	}
 	l.Close()
+	for router.Open() > 0 {
+		time.Sleep(span(margins.Linger) / 100)
+	}
 	server.Close()
 	leave()
 	fleet.Close()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -257,8 +257,9 @@
 		w.mu.Lock()
 	}
 	events := slices.Clone(w.events[min(max(0, resume), len(w.events)):])
+	last := max(resume, len(w.events))
 	w.mu.Unlock()
-	json.NewEncoder(out).Encode(map[string]any{"cursor": max(resume, len(w.events)), "cmds": events})
+	json.NewEncoder(out).Encode(map[string]any{"cursor": last, "cmds": events})
 }
 
 // Config is the platform's file for a director.
