--- a/cmd/tallylab/main.go
+++ b/cmd/tallylab/main.go
@@ -17,6 +17,40 @@
 
 type command struct {
 	Storm stormCommand `cmd:"" help:"A storm of reconnecting and retrying clients on fresh caches."`
+	Cores coresCommand `cmd:"" help:"One director on several cores: rate, latency, memory."`
+}
+
+type coresCommand struct {
+	lab.Cores
+}
+
+// Run measures a director on several cores.
+func (c *coresCommand) Run(ctx context.Context) (err error) {
+	if c.Argv, err = beside(c.DirectorAt); err != nil {
+		return err
+	}
+	r, err := c.Play(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := lab.DrawCores(c.Plot, r); err != nil {
+			return fmt.Errorf("--plot: %w", err)
+		}
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(r)
+	} else {
+		fmt.Println("cores  own  rate/s   p50 ms   p99 ms  p99.9 ms  cpu µs  rss MB  throttled  failed")
+		for _, x := range r.Runs {
+			fmt.Printf("%5d  %-4v %7.0f %8.2f %8.2f %9.2f %7.1f %7.1f %10d %7d\n", x.Cores, x.OwnCores, x.Rate, x.P50, x.P99, x.P999,
+				x.CPU, x.RSS, x.Throttled, x.Failed)
+		}
+	}
+	if broken := r.Broken(); len(broken) > 0 && err == nil {
+		return fmt.Errorf("broken: %s", strings.Join(broken, "; "))
+	}
+	return err
 }
 
 type stormCommand struct {
--- a/deploy/director.star
+++ b/deploy/director.star
@@ -20,7 +20,8 @@
 
 # Deduped downloads over their clients' retries.
 keys(
-    marks = 4096,       # remembered at most; with as many, new deduped downloads are throttled unsent
+    # marks = 10000,    # remembered at most; with as many, new deduped downloads are throttled unsent. By default as many as
+    #                   # fit into a sixteenth of the memory
     remember = 20,      # windows of the content type after the last pull
     strangers = "send", # marked repeats of unknown keys where a client's time is longer than the window: or "abandon"
 )
@@ -29,4 +30,7 @@
 # connection to a node may take.
 # door(settle = ms(100))
 
+# Cores that the director grows over, up to the platform's limits.cores rounded up; a change needs a restart: docs/cores.md.
+# machine(cores = 4)
+
 log(level = "info")
--- a/director/director.go
+++ b/director/director.go
@@ -114,6 +114,7 @@
 	Linger  Micros // after the signal to stop, new downloads are still taken for so long
 	Block   Micros // how long the command channel may hold an answer back
 	Retry   Micros // the pause after an error there
+	Late    Micros // what was decided so long before it is written, and before a purge that came since, is decided anew
 }
 
 // State is what the list says of a node.
@@ -195,6 +196,7 @@
 	Cancelled
 	NeverSent
 	Missing
+	Recalled // never sent, since an event came that its decision did not know
 )
 
 // Filling is what an answer tells of the copy or the fill.
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -48,11 +48,15 @@
 	errSilent  = errors.New("silent")
 	errStalled = errors.New("stalled in an answer")
 	errNoDial  = errors.New("no connection is free")
+
+	// ErrRecalled ends a pull that was not written yet when its node or source was shunned, or what it asks for was void.
+	ErrRecalled = errors.New("recalled")
 )
 
 const (
-	mostOld   = 256     // ids given up on a connection before it is replaced
-	smallRead = 4 << 10 // what is read at once but for bodies
+	mostOld    = 256     // ids given up on a connection before it is replaced
+	smallRead  = 4 << 10 // what is read at once but for bodies
+	smallWrite = 2 << 10 // what is written at once but for clients' writes
 )
 
 // Fleet is what all nodes' connections have in common.
@@ -131,6 +135,16 @@
 	mu    sync.Mutex
 	conns []*conn
 	gone  bool
+	shun  atomic.Bool // nothing new goes to it, and no fill is asked of it
+}
+
+// Shun says whether anything new may still be written to it, or name it as a source.
+func (p *Peer) Shun(shun bool) { p.shun.Store(shun) }
+
+// recalled says whether a pull that waits to be written must not be.
+func (l *Pull) recalled() bool {
+	w := &l.want
+	return l.peer.shun.Load() || w.Source != nil && w.Source.shun.Load() || w.Void != nil && w.Void()
 }
 
 // Peer makes one; no connection is opened yet.
@@ -147,6 +161,7 @@
 	p.f.mu.Lock()
 	delete(p.f.peers, p)
 	p.f.mu.Unlock()
+	p.shun.Store(true)
 	p.mu.Lock()
 	p.gone = true
 	p.mu.Unlock()
@@ -180,8 +195,7 @@
 	over   bool
 }
 
-// Send sends a request and never waits. Done is called once, from another goroutine, with the answer or an
-// *Error. The request goes over none of the connections that pulls before it went over: an answer of theirs that is
+// Send sends a request and never waits. Done is called once, with the answer or an *Error; it must not wait nor call back. The request goes over none of the connections that pulls before it went over: an answer of theirs that is
 // late, or comes twice, would be taken for its own.
 func (p *Peer) Send(w Want, done func(Answer, error), before ...*Pull) *Pull {
 	pull := &Pull{want: w, done: done, peer: p, size: longestHead + w.Body.Len(), sent: time.Now()}
@@ -189,7 +203,7 @@
 	defer p.mu.Unlock()
 	if !p.put(pull, before) {
 		pull.over = true
-		go done(Answer{}, &Error{NotConnected, false, errNoDial})
+		done(Answer{}, &Error{NotConnected, false, errNoDial})
 	}
 	return pull
 }
@@ -258,11 +272,11 @@
 		return
 	}
 	l.sure = sure
-	if sure && (c.heard.Before(l.sent) || len(c.open) == 1) {
+	if sure && (c.heard.Load() < l.sent.UnixNano() || len(c.open) == 1) {
 		c.reset()
 		return
 	}
-	if c.heard.Before(l.sent) {
+	if c.heard.Load() < l.sent.UnixNano() {
 		c.retired = c.retired || time.Since(l.sent) >= span(c.p.f.margins.Connect) // what follows goes over another
 	}
 	c.queue = append(c.queue, item{pull: l, never: true})
@@ -278,7 +292,7 @@
 	asked   []*Pull         // given up, in the order in which the node was asked whether it is there
 	queue   []item
 	wake    chan struct{}
-	heard   time.Time
+	heard   atomic.Int64 // when, as Unix nanoseconds
 	used    time.Time
 	retired bool
 	dead    bool
@@ -315,7 +329,7 @@
 	}
 	l.over = true
 	delete(c.open, l.want.ID)
-	go l.done(a, err)
+	l.done(a, err)
 }
 
 // end closes the connection; what is open on it fails. The caller holds the lock.
@@ -335,7 +349,7 @@
 	for id, l := range c.open {
 		delete(c.open, id)
 		// The node closed the connection before it had the request, which goes over another, once.
-		if closed && l.stage < WhollyWritten && !l.gaveUp && !l.moved && !c.p.gone {
+		if closed && l.stage < WhollyWritten && !l.gaveUp && !l.moved && !c.p.gone && !l.recalled() {
 			if l.moved = true; c.p.put(l, nil) {
 				continue
 			}
@@ -369,7 +383,8 @@
 		c.p.mu.Unlock()
 		return
 	}
-	c.nc, c.heard = nc, time.Now()
+	c.nc = nc
+	c.heard.Store(time.Now().UnixNano())
 	for _, l := range c.open {
 		l.stage = NothingWritten
 	}
@@ -420,9 +435,7 @@
 			c.p.f.fault(c.p.addr, err)
 		}
 		if n > 0 {
-			c.p.mu.Lock()
-			c.heard = time.Now()
-			c.p.mu.Unlock()
+			c.heard.Store(time.Now().UnixNano())
 			if bad := r.feed(buf[:n]); bad != nil {
 				err = bad
 				c.p.f.fault(c.p.addr, err)
@@ -506,6 +519,7 @@
 // write passes requests on until the connection ends.
 func (c *conn) write() {
 	var ends []int
+	small := make([]byte, smallWrite)
 	for range c.wake {
 		c.p.mu.Lock()
 		if c.dead {
@@ -517,11 +531,14 @@
 			c.p.mu.Unlock()
 			continue
 		}
-		buf := c.p.f.pool.Get()
+		buf := small
+		if queue[0].pull.size > len(small) {
+			buf = c.p.f.pool.Get()
+		}
 		out := buf[:0]
 		ends = ends[:0]
 		for i, it := range queue {
-			if len(out)+it.pull.size > pool.Size {
+			if len(out)+it.pull.size > len(buf) {
 				queue = queue[:i]
 				c.signal()
 				break
@@ -539,6 +556,9 @@
 				}
 			case it.pull.gaveUp || it.pull.over:
 				queue[i].pull = nil
+			case it.pull.recalled():
+				c.over(it.pull, Answer{}, &Error{NothingWritten, false, ErrRecalled})
+				queue[i].pull = nil
 			default:
 				out = appendWant(out, &it.pull.want)
 				it.pull.stage, it.pull.sent = WhollyWritten, time.Now() // the node may act before it is known
@@ -549,7 +569,9 @@
 		c.p.mu.Unlock()
 		c.nc.SetWriteDeadline(time.Now().Add(span(c.p.f.margins.Connect)))
 		n, err := c.nc.Write(out)
-		c.p.f.pool.Put(buf)
+		if len(buf) > len(small) {
+			c.p.f.pool.Put(buf)
+		}
 		c.p.mu.Lock()
 		from := 0
 		for i, it := range queue {
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -213,7 +213,7 @@
 		m := margins
 		m.Connect, m.Shared, m.Most = director.Second/4, 1000, 1000
 		b := newBed(t, m, 1)
-		body := pool.New(1).Body()
+		body := pool.New(1).Body(0)
 		body.Write(make([]byte, 48_000))
 		ends := make(chan result, 1000)
 		for i := range 1000 { // more than the sockets between them hold
@@ -436,3 +436,47 @@
 		})
 	}
 }
+
+// A pull that was decided before its node or its source was shunned, or what it asks for voided, is not written; it is
+// recalled, and the next to go is.
+func TestRecalled(t *testing.T) {
+	cases := []struct {
+		name string
+		want func(b *bed) Want
+		shun func(b *bed, source *Peer)
+		back bool
+	}{
+		{"the node", func(b *bed) Want { return Want{} }, func(b *bed, _ *Peer) { b.Shun(true) }, true},
+		{"the source", func(b *bed) Want { return Want{From: "p"} }, func(_ *bed, s *Peer) { s.Shun(true) }, true},
+		{"a source that left", func(b *bed) Want { return Want{From: "p"} }, func(_ *bed, s *Peer) { s.Leave() }, true},
+		{"void", func(b *bed) Want { return Want{Void: func() bool { return true }} }, func(*bed, *Peer) {}, true},
+		{"not void", func(b *bed) Want { return Want{Void: func() bool { return false }} }, func(*bed, *Peer) {}, false},
+		{"shunned and used again", func(b *bed) Want { return Want{} }, func(b *bed, _ *Peer) { b.Shun(true); b.Shun(false) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, margins, 8)
+			source := b.Fleet.Peer("127.0.0.1:1")
+			w := c.want(b)
+			w.ID, w.Sort, w.Asset = "1", "clip", "o"
+			if w.From != "" {
+				w.Source = source
+			}
+			c.shun(b, source)
+			ends := make(chan result, 2)
+			b.Peer.Send(w, func(a Answer, err error) { ends <- result{a, err} })
+			n := b.accept()
+			if c.back {
+				r := <-ends
+				if e := (*Error)(nil); !errors.As(r.error, &e) || !errors.Is(r.error, ErrRecalled) || e.Stage != NothingWritten {
+					t.Errorf("ended with %v", r.error)
+				}
+				b.Shun(false)
+				b.send("2")
+				n.hears(t, "want 2")
+				return
+			}
+			n.hears(t, "want 1")
+		})
+	}
+}
--- a/internal/back/protocol.go
+++ b/internal/back/protocol.go
@@ -61,6 +61,9 @@
 	Renew    bool
 	Seen     string     // the tag of the client's copy
 	Body     *pool.Body // its sender's; read until the pull is over or given up
+
+	Source *Peer       // the one that From names
+	Void   func() bool // whether what was decided may no longer be written; nil for never
 }
 
 // appendWant writes a request.
@@ -202,7 +205,7 @@
 	}
 	r.id, r.answer, r.left, r.tail, r.inBody, r.full = words[0], a, size, 0, true, false
 	if r.wanted = r.begun(r.id); r.wanted && size > 0 {
-		r.answer.Body = r.pool.Body()
+		r.answer.Body = r.pool.Body(size)
 	}
 	return nil
 }
--- a/internal/back/protocol_test.go
+++ b/internal/back/protocol_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestWant(t *testing.T) {
-	body := pool.New(1).Body()
+	body := pool.New(1).Body(0)
 	body.Write([]byte("\r\n"))
 	cases := []struct {
 		name string
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"reflect"
@@ -31,6 +32,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// CoresUp is how many cores the program may be busy on at a time.
+func (l Limits) CoresUp() int { return int(math.Ceil(l.Cores)) }
+
 // Clients is how many connections of clients are held at most; they hold a third of the descriptors.
 func (l Limits) Clients() int { return l.Sockets / 2 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,6 +29,32 @@
 	// Settle is how long nothing must have come after the signal to stop before the director ends; 0 for the margin's
 	// figure.
 	Settle director.Micros
+	Cores  int // 0: not said
+}
+
+const (
+	markBytes = 320 // that a mark of a key takes, about
+	markPart  = 16  // part of the memory that marks may take where the file does not say how many
+)
+
+// Marks is the settings of keys, with as many marks as memory allows where the file says none.
+func (o Operator) Marks(l Limits) keys.Settings {
+	k := o.Keys
+	if k.Most < 0 {
+		k.Most = int(l.Memory() / markPart / markBytes)
+	}
+	return k
+}
+
+// Shards is how many cores' shards a director has: one, but where the file says more, up to what the platform allows.
+func (o Operator) Shards(l Limits) int { return max(1, min(o.Cores, l.CoresUp())) }
+
+// Follow says whether the settings that were read again can be taken by a director that runs on o.
+func (o Operator) Follow(next Operator, was, is Limits) error {
+	if o.Shards(was) != next.Shards(is) {
+		return fmt.Errorf("machine.cores: a change from %d to %d needs a restart", o.Shards(was), next.Shards(is))
+	}
+	return nil
 }
 
 // Bounds of the script.
@@ -40,7 +66,7 @@
 
 // DefaultOperator is what holds without a file: fixed advice, and marks of deduped downloads.
 func DefaultOperator() Operator {
-	return Operator{Storm: storm.Defaults(), Keys: keys.Settings{Most: 4096, Remember: 20}}
+	return Operator{Storm: storm.Defaults(), Keys: keys.Settings{Most: -1, Remember: 20}}
 }
 
 // LoadOperator reads the file; with no path it gives the defaults. Errors name file, line and key.
@@ -75,7 +101,8 @@
 			ratio("remember", &o.Keys.Remember, 1, 1000),
 			choice("strangers", &o.Keys.Abandon, map[string]bool{"send": false, "abandon": true}),
 		},
-		"door": {timed("settle", &o.Settle, time.Millisecond, 10*time.Second)},
+		"door":    {timed("settle", &o.Settle, time.Millisecond, 10*time.Second)},
+		"machine": {count("cores", &o.Cores, 1, 256)},
 		"log": {
 			choice("level", &o.Log, map[string]slog.Level{
 				"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -21,18 +21,18 @@
 
 func TestOperator(t *testing.T) {
 	o, err := LoadOperator("")
-	if err != nil || !reflect.DeepEqual(o, DefaultOperator()) || o.Storm.Mode != storm.Fixed || o.Keys.Most == 0 {
+	if err != nil || !reflect.DeepEqual(o, DefaultOperator()) || o.Storm.Mode != storm.Fixed || o.Marks(Limits{MemoryMB: 32}).Most != 4915 {
 		t.Errorf("without a file: %+v, %v", o, err)
 	}
 	o, err = operator(t, `
 small = 3 < 4
 storm(mode = "guard", windows = 20 if small else 10, rise = 1.5)
-keys(remember = 5, strangers = "abandon")
+keys(marks = 100, remember = 5, strangers = "abandon")
 door(settle = ms(250))
 log(level = "warn")
 `)
 	if err != nil || o.Storm.Mode != storm.Guards || o.Storm.Windows != 20 || o.Storm.Rise != 1.5 || o.Storm.Surge != 4 ||
-		o.Keys.Remember != 5 || !o.Keys.Abandon || o.Keys.Most != 4096 || o.Settle != 250_000 || o.Log != slog.LevelWarn {
+		o.Keys.Remember != 5 || !o.Keys.Abandon || o.Keys.Most != 100 || o.Settle != 250_000 || o.Log != slog.LevelWarn {
 		t.Errorf("read as %+v, %v", o, err)
 	}
 	if o, err = LoadOperator("../../deploy/director.star"); err != nil || o.Storm.Mode != storm.Guards {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,7 +38,7 @@
 
 // Server accepts connections and holds as many as it may.
 type Server struct {
-	sink     Sink
+	sinks    []Sink
 	types    map[string]*director.ContentType
 	pool     *pool.Pool
 	margins  director.Margins
@@ -53,10 +53,10 @@
 	logged   time.Time // when
 }
 
-// New makes a server for so many connections.
-func New(sink Sink, site config.Site, p *pool.Pool, most int, m director.Margins) *Server {
+// New makes a server for so many connections, which are spread over the sinks in turn.
+func New(sinks []Sink, site config.Site, p *pool.Pool, most int, m director.Margins) *Server {
 	s := &Server{
-		sink: sink, types: map[string]*director.ContentType{}, pool: p, margins: m, conns: map[*Conn]struct{}{},
+		sinks: sinks, types: map[string]*director.ContentType{}, pool: p, margins: m, conns: map[*Conn]struct{}{},
 		left: make(chan struct{}, 1),
 	}
 	for i, name := range site.Types {
@@ -74,7 +74,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.tidy(done)
-	for {
+	for next := 0; ; next++ {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return err
@@ -89,13 +89,13 @@
 		s.slot()
 		now := time.Now()
 		c := &Conn{
-			s: s, nc: nc, who: hostOf(nc.RemoteAddr()), open: map[uint64]bool{}, wake: make(chan struct{}, 1),
+			s: s, sink: s.sinks[next%len(s.sinks)], nc: nc, who: hostOf(nc.RemoteAddr()), open: map[uint64]bool{}, wake: make(chan struct{}, 1),
 			used: now, since: now,
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
-		s.sink.Opened(c)
+		c.sink.Opened(c)
 		go c.run()
 	}
 }
@@ -199,7 +199,6 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	newest, soon := now.Add(-span(s.margins.Retry)), now.Add(span(s.margins.Retry)/2)
-	newestSilent := now.Add(-span(s.margins.Retry) / 2) // what a client means to ask comes with its connection, about
 	var worst []rest
 	for c := range s.conns {
 		c.mu.Lock()
@@ -211,7 +210,7 @@
 			r.rank = 1
 		}
 		if len(c.open) == 0 && c.queued == 0 &&
-			(r.rank == 1 || c.used.Before(newest) || r.rank == 0 && c.used.Before(newestSilent)) {
+			(r.rank == 1 || c.used.Before(newest)) {
 			at, _ := slices.BinarySearchFunc(worst, r, func(a, b rest) int {
 				return cmp.Or(a.rank-b.rank, a.used.Compare(b.used))
 			})
@@ -265,6 +264,7 @@
 // Conn is a client's connection.
 type Conn struct {
 	s    *Server
+	sink Sink
 	nc   net.Conn
 	who  uint64        // the client's address, as a hash
 	wake chan struct{} // there is something to write, or the end has come
@@ -417,7 +417,7 @@
 		c.read(written)
 	}()
 	<-written
-	c.s.sink.Closed(c)
+	c.sink.Closed(c)
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
 	c.s.mu.Unlock()
@@ -494,7 +494,7 @@
 		c.signal()
 		c.mu.Unlock()
 		if was {
-			c.s.sink.NeverMind(c, msg.tag)
+			c.sink.NeverMind(c, msg.tag)
 		}
 		return
 	}
@@ -531,14 +531,14 @@
 		c.Blame(errors.New("too many requests at once"))
 		c.Throttle(msg.tag, span(c.s.margins.Back))
 	default:
-		msg.ask.Came, msg.ask.Body = came, c.s.pool.Body()
+		msg.ask.Came, msg.ask.Body = came, c.s.pool.Body(len(msg.ask.bytes))
 		if !msg.ask.Body.Write(msg.ask.bytes) {
 			msg.ask.Body.Free()
 			c.Throttle(msg.tag, span(c.s.margins.Back))
 			return
 		}
 		msg.ask.bytes = nil // the parser's buffer is used again
-		c.s.sink.Ask(c, msg.tag, msg.ask)
+		c.sink.Ask(c, msg.tag, msg.ask)
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -92,7 +92,7 @@
 	for _, to := range change {
 		to(&m)
 	}
-	b.Server = New(b.sink, site, b.pool, conns, m)
+	b.Server = New([]Sink{b.sink}, site, b.pool, conns, m)
 	go b.Serve(l)
 	t.Cleanup(func() {
 		l.Close()
@@ -146,7 +146,7 @@
 }
 
 func (b *bed) body(size int) *pool.Body {
-	body := b.pool.Body()
+	body := b.pool.Body(0)
 	body.Write(bytes.Repeat([]byte("x"), size))
 	return body
 }
@@ -438,7 +438,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(sink{closed: make(chan *Conn, 1)}, site, pool.New(1), 1,
+	s := New([]Sink{sink{closed: make(chan *Conn, 1)}}, site, pool.New(1), 1,
 		director.Margins{Flush: director.Second, Retry: director.Second / 5, Silent: director.Second, Resting: director.Second})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(&poor{Listener: l}) }()
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"image/color"
 	"os"
 
@@ -37,31 +38,48 @@
 // DrawStorm draws demand and advice over load, as PNG.
 func DrawStorm(path string, r Result) error {
 	return drawPanels(path, []panel{
-		{"downloads and advice", "a second", []line{
+		{title: "downloads and advice", y: "a second", lines: []line{
 			{"asked", blue, floats(r.Series.Asked)}, {"told to come", red, floats(r.Series.Advised)},
 			{"fulfilled", green, floats(r.Series.Served)},
 		}},
-		{"worst box so far, over what pushes it over", "load", []line{{"load", red, r.Series.Load}}},
+		{title: "worst box so far, over what pushes it over", y: "load", lines: []line{{"load", red, r.Series.Load}}},
+	})
+}
+
+// DrawCores draws rate and latency over the number of cores, as PNG.
+func DrawCores(path string, r CoresResult) error {
+	var cores, rate, p50, p99 []float64
+	for _, x := range r.Runs {
+		cores, rate = append(cores, float64(x.Cores)), append(rate, x.Rate)
+		p50, p99 = append(p50, x.P50), append(p99, x.P99)
+	}
+	return drawPanels(path, []panel{
+		{title: "downloads fulfilled, " + r.Division, y: "a second", x: "cores", at: cores, lines: []line{{"rate", blue, rate}}},
+		{title: "latency", y: "ms", x: "cores", at: cores, lines: []line{{"p50", green, p50}, {"p99", red, p99}}},
 	})
 }
 
 type panel struct {
 	title, y string
 	lines    []line
+	x        string    // with nothing said, the time in seconds,
+	at       []float64 // by bucket
 }
 
-// drawPanels draws plots one under the other; x is the time in seconds.
+// drawPanels draws plots one under the other.
 func drawPanels(path string, panels []panel) error {
 	plots := make([][]*plot.Plot, len(panels))
 	for i, of := range panels {
 		p := plot.New()
-		p.Title.Text, p.X.Label.Text, p.Y.Label.Text, p.Y.Min = of.title, "seconds", of.y, 0
+		p.Title.Text, p.X.Label.Text, p.Y.Label.Text, p.Y.Min = of.title, cmp.Or(of.x, "seconds"), of.y, 0
 		p.Legend.Top = true
 		p.Add(plotter.NewGrid())
 		for _, l := range of.lines {
 			xy := make(plotter.XYs, len(l.points))
 			for j, v := range l.points {
-				xy[j].X, xy[j].Y = float64(j)*standin.Bucket.Seconds(), v
+				if xy[j].X, xy[j].Y = float64(j)*standin.Bucket.Seconds(), v; of.at != nil {
+					xy[j].X = of.at[j]
+				}
 			}
 			drawn, err := plotter.NewLine(xy)
 			if err != nil {
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -24,11 +24,12 @@
 	Silent     int           `default:"0" help:"Further clients that connect and say nothing."`
 	Directors  int           `default:"3" help:"Directors."`
 	Boxes      int           `default:"8" help:"Caches."`
+	Cores      int           `default:"1" help:"Cores of a director."`
 	Load       float64       `default:"0.5" help:"What clients ask for once all is calm, over what warm caches can do."`
 	Day        string        `default:"storm" enum:"storm,morning,popular" help:"storm: all at once on cold caches; morning: by and by on warm ones; popular: one object on warm ones."`
 	Sockets    int           `name:"limit-sockets" default:"512" help:"Descriptors of a director."`
 	MemoryMB   int           `name:"limit-memory" default:"64" help:"Memory of a director."`
-	Trouble    []string      `placeholder:"NAME,..." enum:"drain,purge,restart,roll,reload,die,second,slow" help:"What goes wrong meanwhile: ${enum}."`
+	Trouble    []string      `placeholder:"NAME,..." enum:"drain,purge,restart,roll,reload,die,second,slow,turnover" help:"What goes wrong meanwhile: ${enum}."`
 	Guard      string        `default:"on" enum:"on,off,fixed" help:"on: places; fixed: the same time for all; off: no time."`
 	Seed       uint64        `default:"1" help:"Of clients and objects."`
 	Duration   time.Duration `default:"30s" help:"How long it goes on."`
@@ -101,7 +102,7 @@
 
 // Script is the operator's file for a guard's setting.
 func (s *Storm) Script() string {
-	return fmt.Sprintf("storm(mode = %q)\n", map[string]string{"on": "guard", "off": "silent", "fixed": "fixed"}[s.Guard])
+	return fmt.Sprintf("machine(cores = %d)\nstorm(mode = %q)\n", max(1, s.Cores), map[string]string{"on": "guard", "off": "silent", "fixed": "fixed"}[s.Guard])
 }
 
 // counter counts lines that say a storm rises.
@@ -156,7 +157,7 @@
 		r.Storms = log.seen
 	}()
 	for i := range s.Directors {
-		d, err := NewDirector(w, folder, fmt.Sprint("n", i), s.Argv, s.Script(), Limits{s.Sockets, s.MemoryMB, 1}, log)
+		d, err := NewDirector(w, folder, fmt.Sprint("n", i), s.Argv, s.Script(), Limits{s.Sockets, s.MemoryMB, float64(max(1, s.Cores))}, log)
 		if err == nil {
 			err = d.Start(ctx)
 		}
@@ -286,6 +287,11 @@
 		case "die":
 			at(3*time.Second, func() { w.Nodes[1].Die() })
 			at(6*time.Second, func() { w.Nodes[1].Start() })
+		case "turnover": // a box that is announced and withdrawn again and again
+			for i := range int(s.Duration / (100 * time.Millisecond)) {
+				status := []string{"draining", "up"}[i%2]
+				at(time.Duration(i+5)*100*time.Millisecond, func() { w.Nodes[3%s.Boxes].Tell(status) })
+			}
 		case "slow":
 			at(2*time.Second, func() { w.Nodes[2%s.Boxes].Do(standin.Well, 4) })
 		case "second":
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,97 +1,120 @@
-// Package pool lends buffers of one size, up to a number that memory allows, and keeps bodies in them.
+// Package pool lends buffers of a few sizes, up to what memory allows, and keeps bodies in them.
 package pool
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
-// Size of every buffer. A client's largest message fits into one.
+// Size of the largest buffers, and of those that connections read into. A client's largest message fits into one.
 const Size = 64 << 10
 
-const kept = 64 // free buffers kept for the next use
+const (
+	unit = 4 << 10 // the smallest buffer; what is out is counted in these
+	kept = 4 << 20 // bytes of free buffers of a size that are kept for the next use
+)
+
+// sizes that are lent: most bodies are small, and a large buffer for each would be mostly empty.
+var sizes = [...]int{unit, 16 << 10, Size}
 
 // Pool lends buffers. It is safe for concurrent use.
 type Pool struct {
 	mu        sync.Mutex
-	free      [][]byte
-	out, most int
+	free      [len(sizes)][][]byte
+	out, most atomic.Int64 // in units
 }
 
-// New makes a pool that lends buffers for bodies while fewer than most are out.
-func New(most int) *Pool { return &Pool{most: most} }
-
-// Limit sets how many buffers may be out when one is lent for a body.
-func (p *Pool) Limit(most int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.most = most
+// New makes a pool that lends buffers for bodies while fewer than so many of Size, or as much in smaller ones, are out.
+func New(most int) *Pool {
+	p := &Pool{}
+	p.Limit(most)
+	return p
 }
 
-// Get lends a buffer to a connection to read into. It never fails: connections are limited elsewhere.
-func (p *Pool) Get() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lend()
-}
+// Limit sets how many buffers of Size may be out when one is lent for a body.
+func (p *Pool) Limit(most int) { p.most.Store(int64(most) * (Size / unit)) }
 
-// room lends a buffer for a body; nil when as many are out as may be.
-func (p *Pool) room() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.out >= p.most {
+// Get lends a buffer of Size to a connection to read into. It never fails: connections are limited elsewhere.
+func (p *Pool) Get() []byte { return p.lend(len(sizes) - 1) }
+
+// room lends a buffer for a body that has so many bytes yet to come; nil when as much is out as may be.
+func (p *Pool) room(bytes int) []byte {
+	if p.out.Load() >= p.most.Load() {
 		return nil
 	}
-	return p.lend()
+	for class, size := range sizes {
+		if bytes <= size {
+			return p.lend(class)
+		}
+	}
+	return p.lend(len(sizes) - 1)
 }
 
-func (p *Pool) lend() []byte {
-	p.out++
-	if n := len(p.free); n > 0 {
-		b := p.free[n-1]
-		p.free = p.free[:n-1]
+func (p *Pool) lend(class int) []byte {
+	p.out.Add(int64(sizes[class] / unit))
+	p.mu.Lock()
+	if n := len(p.free[class]); n > 0 {
+		b := p.free[class][n-1]
+		p.free[class] = p.free[class][:n-1]
+		p.mu.Unlock()
 		return b
 	}
-	return make([]byte, Size)
+	p.mu.Unlock()
+	return make([]byte, sizes[class])
 }
 
 // Put takes a buffer back.
 func (p *Pool) Put(b []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.out--
-	if len(p.free) < kept {
-		p.free = append(p.free, b[:Size])
+	p.out.Add(-int64(cap(b) / unit))
+	for class, size := range sizes {
+		if cap(b) == size {
+			p.mu.Lock()
+			if len(p.free[class]) < kept/size {
+				p.free[class] = append(p.free[class], b[:size])
+			}
+			p.mu.Unlock()
+			return
+		}
 	}
 }
 
-// Out says how many buffers are out and how many may be.
+// Out says how many buffers of Size are out, or as much in smaller ones, and how many may be.
 func (p *Pool) Out() (out, most int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.out, p.most
+	return int(p.out.Load()+Size/unit-1) / (Size / unit), int(p.most.Load()) / (Size / unit)
 }
 
 // Body is a run of bytes in lent buffers. It has one owner at a time, who calls Free once. A nil Body is empty.
 type Body struct {
-	pool  *Pool
-	parts [][]byte
-	len   int
+	pool   *Pool
+	parts  [][]byte
+	first  [1][]byte // of the parts, mostly all
+	len    int
+	expect int // bytes in all, where told
 }
 
-// Body starts an empty one.
-func (p *Pool) Body() *Body { return &Body{pool: p} }
+// Body starts an empty one that is expected to hold so many bytes; with 0 that is not known.
+func (p *Pool) Body(expect int) *Body { return &Body{pool: p, expect: expect} }
 
 // Write adds bytes; false when no buffer could be had.
 func (b *Body) Write(data []byte) bool {
 	for len(data) > 0 {
 		n := len(b.parts)
-		if n == 0 || len(b.parts[n-1]) == Size {
-			part := b.pool.room()
+		if n == 0 || len(b.parts[n-1]) == cap(b.parts[n-1]) {
+			left := b.expect - b.len
+			if left < len(data) {
+				left = Size
+			}
+			part := b.pool.room(left)
 			if part == nil {
 				return false
 			}
+			if n == 0 {
+				b.parts = b.first[:0]
+			}
 			b.parts, n = append(b.parts, part[:0]), n+1
 		}
 		part := b.parts[n-1]
-		took := copy(part[len(part):Size], data)
+		took := copy(part[len(part):cap(part)], data)
 		b.parts[n-1], data = part[:len(part)+took], data[took:]
 		b.len += took
 	}
@@ -106,12 +129,12 @@
 	return b.len
 }
 
-// Parts are its bytes, in order; the slice is the caller's.
+// Parts are its bytes, in order; the slice is the body's.
 func (b *Body) Parts() [][]byte {
 	if b == nil {
 		return nil
 	}
-	return append([][]byte(nil), b.parts...)
+	return b.parts
 }
 
 // Free gives the buffers back.
@@ -122,5 +145,5 @@
 	for _, part := range b.parts {
 		b.pool.Put(part)
 	}
-	b.parts, b.len = nil, 0
+	b.parts, b.first[0], b.len = nil, nil, 0
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -19,7 +19,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := New(c.most)
-			b, fit := p.Body(), 0
+			b, fit := p.Body(0), 0
 			var want []byte
 			for i := range c.pieces {
 				piece := bytes.Repeat([]byte{byte(i + 1)}, c.piece)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,57 +1,80 @@
-// Package route stands between clients, nodes and the decisions: one goroutine owns the module, the downloads in
-// hand and their timers. It asks the module, does what the answer says and decides nothing.
+// Package route stands between clients, nodes and the decisions. A router has one module and one list; its shards, a goroutine
+// each, own the downloads of their clients with pulls and timers. They ask the module in turn, do what its answer says, and
+// decide nothing.
 package route
 
 import (
-	"container/heap"
 	"errors"
 	"log/slog"
 	"runtime/debug"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"tallyproxy/director"
 	"tallyproxy/internal/back"
 	"tallyproxy/internal/feed"
 	"tallyproxy/internal/front"
+	"tallyproxy/shard"
+	"tallyproxy/wheel"
 )
 
-const waiting = 1024 // messages that may wait for the goroutine before their senders do
+const waiting = 1024 // messages that may wait for a shard before their senders do
 
-// Router routes downloads. Its methods may be called from any goroutine.
+// Router holds what all shards share. Its methods may be called from any goroutine.
 type Router struct {
-	module  director.Director
 	margins director.Margins
 	fleet   *back.Fleet
-	calls   chan func()
-	done    chan struct{}
 	start   time.Time
 	offset  director.Micros // the system's clock at the start
-
-	// owned by the goroutine
-	peers     map[string]*peer                     // by node; emptied by the list
-	downloads map[*front.Conn]map[uint64]*download // emptied as they end
-	ids       map[string]*download                 // emptied once their pulls have ended too
-	timers    timers
-	count     int // downloads without a final answer
+	shards  []*Shard
+	ids     *shard.Ids    // of downloads, until their pulls have ended too
+	epochs  *shard.Epochs // of lists and purges
+	purges  atomic.Int64  // epoch of the last purge
+	open    atomic.Int64  // downloads without a final answer
+	mu      sync.Mutex    // one shard at a time asks the module; a download's decisions take less than a microsecond
+	module  director.Director
+	peers   map[string]*peer // by node; emptied by the list
 }
 
+// peer is one process of a node. Each shard has connections of its own to it, within the fleet's one limit: shared ones
+// would have all shards wait for each other's locks.
 type peer struct {
-	*back.Peer
+	of      []*back.Peer // by shard
 	addr    string
 	started director.Micros
 }
 
+func (p *peer) leave() {
+	for _, q := range p.of {
+		q.Leave()
+	}
+}
+
+// Shard owns some clients' downloads. Its methods as a front.Sink may be called from any goroutine.
+type Shard struct {
+	*Router
+	number int
+	calls  *shard.Queue[func()]
+	done   chan struct{}
+
+	// owned by the goroutine
+	downloads map[*front.Conn]map[uint64]*download // emptied as they end
+	timers    *wheel.Wheel[*download]
+}
+
 // download is one in hand, until its final answer is out and its pulls have ended.
 type download struct {
 	director.Download
+	shard *Shard
 	conn  *front.Conn
 	tag   uint64
 	ask   front.Ask
 	pulls []*pull
 	wake  director.Micros // when to ask the module again; 0 for not
-	due   director.Micros // its place among the timers
-	index int             // there; -1 for none
+	due   director.Micros // its place among the timers; 0 for none
+	timer wheel.Item[*download]
 }
 
 type pull struct {
@@ -60,17 +83,28 @@
 	over  bool
 }
 
-// New makes a router; Run lets it work.
-func New(module director.Director, m director.Margins, fleet *back.Fleet) *Router {
+// New makes a router of so many shards; Run lets it work.
+func New(module director.Director, m director.Margins, fleet *back.Fleet, shards int) *Router {
 	r := &Router{
-		module: module, margins: m, fleet: fleet, calls: make(chan func(), waiting),
-		done: make(chan struct{}), start: time.Now(), peers: map[string]*peer{},
-		downloads: map[*front.Conn]map[uint64]*download{}, ids: map[string]*download{},
+		module: module, margins: m, fleet: fleet, start: time.Now(), peers: map[string]*peer{}, ids: shard.NewIds(),
+		epochs: shard.NewEpochs(shards),
 	}
 	r.offset = director.Micros(r.start.UnixMicro())
+	for i := range shards {
+		r.shards = append(r.shards, &Shard{
+			Router: r, number: i, calls: shard.NewQueue[func()](waiting), done: make(chan struct{}),
+			downloads: map[*front.Conn]map[uint64]*download{},
+			timers:    wheel.New[*download](timerTick, int64(r.offset)),
+		})
+	}
 	return r
 }
 
+const timerTick = 250 // µs
+
+// Shards are those that clients are spread over.
+func (r *Router) Shards() []*Shard { return r.shards }
+
 // at is a moment on the module's clock: one reading of the system's clock, then the monotonic one.
 func (r *Router) at(t time.Time) director.Micros {
 	return r.offset + director.Micros(t.Sub(r.start)/time.Microsecond)
@@ -78,71 +112,93 @@
 
 func (r *Router) now() director.Micros { return r.at(time.Now()) }
 
-// do hands a call to the goroutine.
-func (r *Router) do(call func()) {
-	select {
-	case r.calls <- call:
-	case <-r.done:
+// Run works until Stop.
+func (r *Router) Run() {
+	var all sync.WaitGroup
+	for _, s := range r.shards {
+		all.Go(s.run)
 	}
+	all.Wait()
 }
 
-// Run works until Stop.
-func (r *Router) Run() {
+func (s *Shard) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	planned := time.Time{} // for when the timer is set
 	for {
 		select {
-		case call := <-r.calls:
-			call()
+		case <-s.calls.Wake():
 		case <-timer.C:
-		case <-r.done:
+			planned = time.Time{}
+		case <-s.done:
 			return
 		}
-		for now := r.now(); len(r.timers) > 0 && r.timers[0].due <= now; {
-			r.due(now, r.timers[0])
+		epoch := s.epochs.Told()
+		for _, call := range s.calls.Take() {
+			call()
+		}
+		now := time.Now()
+		s.timers.Advance(int64(s.at(now)), func(i *wheel.Item[*download]) { s.due(i.Value) })
+		s.epochs.Take(s.number, epoch) // what was decided before has been handed on
+		if s.timers.Len() == 0 {
+			continue
 		}
-		if len(r.timers) > 0 {
-			timer.Reset(time.Duration(max(0, r.timers[0].due-r.now())) * time.Microsecond)
+		if next := now.Add(s.timers.Wait(int64(s.at(now)))); planned.IsZero() || next.Before(planned) {
+			planned = next
+			timer.Reset(time.Until(next))
 		}
 	}
 }
 
-// Do has the goroutine make a call between two of its own: the module is at rest then.
-func (r *Router) Do(call func()) {
-	r.do(func() {
-		defer r.caught(nil)
-		call()
-	})
-}
-
 // Stop ends Run.
-func (r *Router) Stop() { close(r.done) }
+func (r *Router) Stop() {
+	for _, s := range r.shards {
+		s.calls.Close()
+		close(s.done)
+	}
+}
 
-// Open says how many downloads have no final answer yet.
+// Open says how many downloads have no final answer yet, or wait to be taken up.
 func (r *Router) Open() int {
-	n := make(chan int, 1)
-	r.do(func() { n <- r.count })
-	select {
-	case open := <-n:
-		return open
-	case <-r.done:
-		return 0
+	for _, s := range r.shards {
+		passed := make(chan struct{})
+		if s.calls.Put(func() { close(passed) }) {
+			select {
+			case <-passed:
+			case <-s.done:
+			}
+		}
 	}
+	return int(r.open.Load())
 }
 
-// Apply takes events of the command channel.
+// Do makes a call while the module is at rest.
+func (r *Router) Do(call func()) {
+	defer caught(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	call()
+}
+
+// Told is the number of the last event that came, and that of the last one that is in force on every shard.
+func (r *Router) Told() (told, inForce int64) { return r.epochs.Told(), r.epochs.InForce() }
+
+// Apply takes events of the command channel. When it returns, the module heeds them; each shard shows with its next turn that
+// nothing decided before is left in its hands.
 func (r *Router) Apply(events []feed.Event) {
-	r.do(func() {
-		defer r.caught(nil)
-		for _, e := range events {
-			r.apply(e)
-		}
-	})
+	for _, e := range events {
+		r.Do(func() { r.apply(e) })
+	}
+	for _, s := range r.shards {
+		s.calls.Push(func() {})
+	}
 }
 
 func (r *Router) apply(e feed.Event) {
+	defer r.epochs.Tell()
 	if !e.Listed {
 		if e.At > 0 {
+			r.purges.Add(1)
 			r.module.Purged(r.now(), e.Object, e.Group, e.At)
 		}
 		return
@@ -152,96 +208,133 @@
 		rows[i], named[n.ID] = n.Node, true
 		p := r.peers[n.ID]
 		if p != nil && (n.State == director.Gone || p.addr != n.Addr || p.started != n.Started) {
-			p.Leave()
+			p.leave()
 			delete(r.peers, n.ID)
 			p = nil
 		}
 		if p == nil && n.State != director.Gone {
-			r.peers[n.ID] = &peer{r.fleet.Peer(n.Addr), n.Addr, n.Started}
+			p = &peer{make([]*back.Peer, len(r.shards)), n.Addr, n.Started}
+			for i := range p.of {
+				p.of[i] = r.fleet.Peer(n.Addr)
+			}
+			r.peers[n.ID] = p
+		}
+		if p != nil {
+			for _, q := range p.of {
+				q.Shun(n.State != director.Ready)
+			}
 		}
 	}
 	for id, p := range r.peers {
 		if e.Complete && !named[id] {
-			p.Leave()
+			p.leave()
 			delete(r.peers, id)
 		}
 	}
 	r.module.Listed(r.now(), rows, e.Complete)
 }
 
+// decided is an answer of the module with what belongs to it.
+type decided struct {
+	director.Answer
+	at       director.Micros
+	wait     director.Micros
+	to, from *peer // of a pull; nil where the list has just lost them
+	purges   int64
+}
+
+// decide asks the module, and how long to wait then.
+func (r *Router) decide(dl *download, ask func(now director.Micros) director.Answer) (d decided) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.at = r.now() // within the lock, so that the module's clock never goes back
+	d.Answer = ask(d.at)
+	switch d.Verb {
+	case director.Throttle, director.Abandon:
+		return d
+	case director.Pull:
+		d.to, d.from, d.purges = r.peers[d.Node.ID], r.peers[d.Source.ID], r.purges.Load()
+	}
+	if !dl.Over {
+		d.wait = r.module.Wait(d.at, &dl.Download)
+	}
+	return d
+}
+
 // Ask takes a download from a client.
-func (r *Router) Ask(c *front.Conn, tag uint64, a front.Ask) {
-	r.do(func() {
-		if r.ids[a.Txn] != nil { // a node could not tell the two apart
+func (s *Shard) Ask(c *front.Conn, tag uint64, a front.Ask) {
+	s.calls.Put(func() {
+		if !s.ids.Claim(a.Txn, s.number) { // a node could not tell the two apart
 			a.Body.Free()
 			c.Blame(errors.New("txn: it is that of an open request"))
 			c.Abandon(tag)
 			return
 		}
-		dl := &download{conn: c, tag: tag, ask: a, index: -1}
-		r.ids[a.Txn] = dl
+		dl := &download{shard: s, conn: c, tag: tag, ask: a}
+		dl.timer.Value = dl
 		dl.Type, dl.Object, dl.Part, dl.Group, dl.Again = a.Type, a.Object, a.Part, a.Group, a.Again
 		dl.Client, dl.Key, dl.Doubted = a.Client, a.Key, a.Doubted
-		dl.Arrived = r.at(a.Came)
-		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - r.margins.Answer
-		if r.downloads[c] == nil {
-			r.downloads[c] = map[uint64]*download{}
+		dl.Arrived = s.at(a.Came)
+		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - s.margins.Answer
+		if s.downloads[c] == nil {
+			s.downloads[c] = map[uint64]*download{}
 		}
-		r.downloads[c][tag] = dl
-		r.count++
-		defer r.caught(dl)
-		now := r.now()
-		r.act(now, dl, r.module.Where(now, &dl.Download))
+		s.downloads[c][tag] = dl
+		s.open.Add(1)
+		defer caught(dl)
+		s.where(dl)
 	})
 }
 
+// where asks where a download goes, and does what is answered.
+func (s *Shard) where(dl *download) {
+	s.act(dl, s.decide(dl, func(now director.Micros) director.Answer { return s.module.Where(now, &dl.Download) }))
+}
+
 // caught ends a download and its connection alone where a call about it panicked; events are of no download.
-func (r *Router) caught(dl *download) {
+func caught(dl *download) {
 	if bad := recover(); bad != nil {
 		slog.Error("panic", "where", "route", "err", bad, "stack", string(debug.Stack()))
 		if dl != nil {
-			r.finish(dl)
+			dl.shard.finish(dl)
 			dl.conn.Drop()
 		}
 	}
 }
 
 // Opened says that a client has connected.
-func (r *Router) Opened(*front.Conn) {
-	r.do(func() {
-		defer r.caught(nil)
-		r.module.Connected(r.now())
-	})
+func (s *Shard) Opened(*front.Conn) {
+	s.Do(func() { s.module.Connected(s.now()) })
 }
 
 // NeverMind says that a client no longer waits for a download.
-func (r *Router) NeverMind(c *front.Conn, tag uint64) {
-	r.do(func() {
-		if dl := r.downloads[c][tag]; dl != nil {
-			r.finish(dl)
+func (s *Shard) NeverMind(c *front.Conn, tag uint64) {
+	s.calls.Put(func() {
+		if dl := s.downloads[c][tag]; dl != nil {
+			s.finish(dl)
 		}
 	})
 }
 
 // Closed says that a client is gone with all it asked for.
-func (r *Router) Closed(c *front.Conn) {
-	r.do(func() {
-		for _, dl := range r.downloads[c] {
-			r.finish(dl)
+func (s *Shard) Closed(c *front.Conn) {
+	s.calls.Put(func() {
+		for _, dl := range s.downloads[c] {
+			s.finish(dl)
 		}
 	})
 }
 
 // finish ends a download: nothing more is owed for it.
-func (r *Router) finish(dl *download) {
+func (s *Shard) finish(dl *download) {
 	if dl.Over {
 		return
 	}
 	dl.Over = true
-	r.count--
-	delete(r.downloads[dl.conn], dl.tag)
-	if len(r.downloads[dl.conn]) == 0 {
-		delete(r.downloads, dl.conn)
+	s.open.Add(-1)
+	delete(s.downloads[dl.conn], dl.tag)
+	if len(s.downloads[dl.conn]) == 0 {
+		delete(s.downloads, dl.conn)
 	}
 	for _, p := range dl.pulls {
 		if !p.over {
@@ -249,49 +342,47 @@
 		}
 	}
 	dl.ask.Body.Free()
-	r.forget(dl)
-	r.plan(dl)
+	s.forget(dl)
+	s.plan(dl)
 }
 
 // forget gives a download's id free once it can be met nowhere any more.
-func (r *Router) forget(dl *download) {
+func (s *Shard) forget(dl *download) {
 	if dl.Over && !slices.ContainsFunc(dl.pulls, func(p *pull) bool { return !p.over }) {
-		delete(r.ids, dl.ask.Txn)
+		s.ids.Release(dl.ask.Txn, s.number)
 	}
 }
 
 // act does what the module says.
-func (r *Router) act(now director.Micros, dl *download, a director.Answer) {
+func (s *Shard) act(dl *download, a decided) {
 	switch a.Verb {
 	case director.Pull:
-		r.pull(now, dl, a)
+		s.pull(dl, a)
 	case director.Cancel:
 		if p := dl.pulls[a.Pull]; !p.over {
 			p.GiveUp(true)
 		}
-	case director.Throttle:
+	case director.Throttle, director.Abandon:
 		if a.NoUse {
 			dl.conn.Useless()
 		}
-		dl.conn.Throttle(dl.tag, span(a.ComeBack))
-		r.finish(dl)
-	case director.Abandon:
-		if a.NoUse {
-			dl.conn.Useless()
+		if a.Verb == director.Throttle {
+			dl.conn.Throttle(dl.tag, span(a.ComeBack))
+		} else {
+			dl.conn.Abandon(dl.tag)
 		}
-		dl.conn.Abandon(dl.tag)
-		r.finish(dl)
+		s.finish(dl)
 	}
 	if dl.Over {
 		return
 	}
-	if wait := r.module.Wait(now, &dl.Download); wait > 0 && (dl.wake == 0 || dl.wake > now+wait) {
-		dl.wake = now + wait
+	if a.wait > 0 && (dl.wake == 0 || dl.wake > a.at+a.wait) {
+		dl.wake = a.at + a.wait
 	}
-	r.plan(dl)
+	s.plan(dl)
 }
 
-func (r *Router) pull(now director.Micros, dl *download, a director.Answer) {
+func (s *Shard) pull(dl *download, a decided) {
 	w := back.Want{
 		ID: dl.ask.Txn, Sort: dl.ask.Sort, Asset: dl.Object, Slice: dl.Part, Patience: span(a.TimeOut),
 		Key: dl.ask.Key, Rank: a.Keep, Oldest: span(a.Oldest), Join: a.Join, Held: a.Held, Renew: a.Renew,
@@ -299,64 +390,71 @@
 	}
 	if a.Source != a.Node {
 		w.From = a.Source.ID
+		if a.from != nil {
+			w.Source = a.from.of[s.number]
+		}
 	}
-	p := &pull{until: now + a.TimeOut}
+	if late := s.margins.Late; late > 0 {
+		decided := s.start.Add(span(a.at - s.offset))
+		w.Void = func() bool { return s.purges.Load() != a.purges && time.Since(decided) > span(late) }
+	}
+	p := &pull{until: a.at + a.TimeOut}
 	number := len(dl.pulls)
 	var before []*back.Pull
 	for _, earlier := range dl.pulls {
 		before = append(before, earlier.Pull)
 	}
 	dl.pulls = append(dl.pulls, p)
-	to := r.peers[a.Node.ID]
-	if to == nil { // the list has just lost it
+	if a.to == nil { // the list has just lost it
 		p.Pull = &back.Pull{}
-		go r.do(func() { r.ended(dl, number, director.NeverSent, back.Answer{}) })
+		s.calls.Push(func() { s.ended(dl, number, director.Recalled, back.Answer{}) })
 		return
 	}
-	p.Pull = to.Send(w, func(answer back.Answer, err error) {
-		r.do(func() { r.ended(dl, number, ending(answer, err), answer) })
+	p.Pull = a.to.of[s.number].Send(w, func(answer back.Answer, err error) {
+		s.calls.Push(func() { s.ended(dl, number, ending(answer, err), answer) })
 	}, before...)
 }
 
 // ended takes a pull's end.
-func (r *Router) ended(dl *download, number int, how director.Ending, answer back.Answer) {
+func (s *Shard) ended(dl *download, number int, how director.Ending, answer back.Answer) {
 	p := dl.pulls[number]
 	if p.over {
 		answer.Body.Free()
 		return
 	}
 	p.over = true
-	defer r.caught(dl)
-	defer r.forget(dl)
+	defer caught(dl)
+	defer s.forget(dl)
 	if !dl.Over && how == director.Fulfilled {
 		dl.conn.Fulfil(dl.tag, answer.Body, answer.Word == back.Unchanged)
-		r.finish(dl)
+		s.finish(dl)
 	} else {
 		answer.Body.Free()
 	}
 	out := director.Outcome{Pull: number, Ending: how, Filling: fillings[answer.Note], Last: dl.Over}
-	now := r.now()
-	r.act(now, dl, r.module.After(now, &dl.Download, out))
+	s.act(dl, s.decide(dl, func(now director.Micros) director.Answer { return s.module.After(now, &dl.Download, out) }))
 }
 
 // due does what time has come for.
-func (r *Router) due(now director.Micros, dl *download) {
-	defer r.caught(dl)
+func (s *Shard) due(dl *download) {
+	defer caught(dl)
+	dl.due = 0
+	now := s.now()
 	for i, p := range dl.pulls {
 		if !p.over && p.until <= now && !dl.Over {
 			p.GiveUp(false)
-			r.ended(dl, i, director.TimedOut, back.Answer{})
+			s.ended(dl, i, director.TimedOut, back.Answer{})
 		}
 	}
 	if !dl.Over && dl.wake > 0 && dl.wake <= now {
 		dl.wake = 0
-		r.act(now, dl, r.module.Where(now, &dl.Download))
+		s.where(dl)
 	}
-	r.plan(dl)
+	s.plan(dl)
 }
 
-// plan gives a download its place among the timers.
-func (r *Router) plan(dl *download) {
+// plan gives a download its place among the timers. One that is due later than it was is found so when it comes out.
+func (s *Shard) plan(dl *download) {
 	next := dl.wake
 	for _, p := range dl.pulls {
 		if !p.over && (next == 0 || p.until < next) {
@@ -365,15 +463,11 @@
 	}
 	switch {
 	case dl.Over || next == 0:
-		if dl.index >= 0 {
-			heap.Remove(&r.timers, dl.index)
-		}
-	case dl.index < 0:
+		s.timers.Remove(&dl.timer)
+		dl.due = 0
+	case dl.due == 0 || next < dl.due:
 		dl.due = next
-		heap.Push(&r.timers, dl)
-	default:
-		dl.due = next
-		heap.Fix(&r.timers, dl.index)
+		s.timers.Put(&dl.timer, int64(next))
 	}
 }
 
@@ -397,6 +491,8 @@
 		return endings[a.Word]
 	case !errors.As(err, &e):
 		return director.Broken
+	case e.Stage < back.WhollyWritten && errors.Is(err, back.ErrRecalled):
+		return director.Recalled
 	case e.GaveUp && e.Stage < back.WhollyWritten:
 		return director.NeverSent
 	case e.GaveUp:
@@ -409,24 +505,3 @@
 }
 
 func span(t director.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
-
-// timers is a heap of downloads by when they are due.
-type timers []*download
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].index, t[j].index = i, j
-}
-func (t *timers) Push(x any) {
-	dl := x.(*download)
-	dl.index = len(*t)
-	*t = append(*t, dl)
-}
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	dl := (*t)[last]
-	(*t)[last], *t, dl.index = nil, (*t)[:last], -1
-	return dl
-}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -204,9 +204,9 @@
 	p := pool.New(64)
 	fleet := back.New(p, m, 8)
 	site := config.Site{Types: []string{"clip"}, Settings: director.Settings{Types: []*director.ContentType{{Expiry: 60 * director.Second}}}}
-	b.Router = New(b.script, m, fleet)
+	b.Router = New(b.script, m, fleet, 1)
 	go b.Router.Run()
-	server := front.New(b.Router, site, p, 8, m)
+	server := front.New([]front.Sink{b.Router.Shards()[0]}, site, p, 8, m)
 	go server.Serve(l)
 	b.list(director.Ready)
 	if b.client, err = net.Dial("tcp", l.Addr().String()); err != nil {
@@ -323,7 +323,7 @@
 		{"a node that is not listed", 0, []director.Answer{
 			{Verb: director.Pull, Node: &director.Node{ID: "e9"}, Source: &director.Node{ID: "e9"}, TimeOut: director.Second}, late,
 		}, "", func(b *bed) {
-			b.hears("after 0 7 0 false")
+			b.hears("after 0 9 0 false")
 			b.answered("1 503 later=250 ")
 		}},
 		{"its node leaves meanwhile", 0, []director.Answer{pulls}, "", func(b *bed) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -33,6 +33,8 @@
 type flags struct {
 	Config   string `env:"NODE_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
 	Settings string `placeholder:"FILE" help:"The operator's own settings, a Starlark script. Without it the defaults hold."`
+	Divided  bool   `hidden:"" help:"An experiment: beliefs divided over the cores. Keys are not kept over connections then."`
+	Profile  string `placeholder:"FILE" help:"Write a profile of the processor time, and one of waiting for locks beside it, to the end."`
 	Check    bool   `help:"Read both files, say what is wrong with them, and end."`
 }
 
@@ -59,6 +61,14 @@
 		fmt.Println("ok")
 		return 0
 	}
+	if f.Profile != "" {
+		end, err := profile(f.Profile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "tallyproxy: --profile:", err)
+			return 2
+		}
+		defer end()
+	}
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
@@ -69,6 +79,29 @@
 	return 0
 }
 
+// profile writes profiles until the end.
+func profile(path string) (end func(), err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	locks, err := os.Create(path + ".locks")
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	runtime.SetMutexProfileFraction(100)
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		pprof.Lookup("mutex").WriteTo(locks, 0)
+		f.Close()
+		locks.Close()
+	}, nil
+}
+
 // logHandler writes key=value lines whose message is the event.
 func logHandler(to io.Writer, level slog.Leveler) slog.Handler {
 	return slog.NewTextHandler(to, &slog.HandlerOptions{
@@ -104,8 +137,8 @@
 }
 
 // options are what the operator's file says to the decisions.
-func options(o config.Operator) logic.Options {
-	return logic.Options{Storm: o.Storm, Keys: o.Keys, Told: func(_ director.Micros, r storm.Report) {
+func options(o config.Operator, l config.Limits) logic.Options {
+	return logic.Options{Storm: o.Storm, Keys: o.Marks(l), Told: func(_ director.Micros, r storm.Report) {
 		slog.Info("storm", "state", r.State, "demand", r.Demand, "warm", r.Warm, "asks", r.Asks, "repeats", r.Repeats,
 			"early", r.Early, "connects", r.Connects, "promised", r.Promised, "kept", r.Kept)
 	}}
@@ -118,29 +151,32 @@
 		return err
 	}
 	level.Set(o.Log)
-	limitRuntime(c.Limits)
+	limitRuntime(c.Limits, o)
 	margins := logic.Margins(c.Site.Settings)
 	buffers := pool.New(c.Limits.Buffers(pool.Size))
 	fleet := back.New(buffers, margins, c.Limits.Dials())
-	module := logic.New(c.Site.Settings, options(o))
-	router := route.New(module, margins, fleet)
+	shards := o.Shards(c.Limits)
+	if o.Cores > shards {
+		slog.Warn("fewer_cores", "asked", o.Cores, "allowed", shards)
+	}
+	d := newDecider(c.Site.Settings, options(o, c.Limits), margins, fleet, shards, f.Divided)
 	channel := feed.New(c.Site)
 	known, err := channel.Known(c.Known)
 	if err != nil {
 		return err
 	}
-	go router.Run()
-	router.Apply(known)
+	d.apply(known)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	server := front.New(router, c.Site, buffers, c.Limits.Clients(), margins)
+	d.run()
+	server := front.New(d.sinks, c.Site, buffers, c.Limits.Clients(), margins)
 	go server.Serve(l)
 	ctx, leave := context.WithCancel(context.Background())
 	channel.Move(c.Channel)
-	go channel.Follow(ctx, margins, router.Apply)
-	slog.Info("started", "name", c.Name, "listen", c.Listen, "events", len(known), "settings", f.Settings)
+	go channel.Follow(ctx, margins, d.apply)
+	slog.Info("started", "name", c.Name, "listen", c.Listen, "events", len(known), "settings", f.Settings, "cores", shards)
 
 	for stopping := false; !stopping; {
 		select {
@@ -151,22 +187,25 @@
 			if err == nil {
 				next, err = c.Follow(next)
 			}
+			if err == nil {
+				err = o.Follow(nextO, c.Limits, next.Limits)
+			}
 			if err != nil {
 				slog.Warn("reload_refused", "err", err)
 				continue
 			}
 			c, o = next, nextO
 			level.Set(o.Log)
-			limitRuntime(c.Limits)
+			limitRuntime(c.Limits, o)
 			buffers.Limit(c.Limits.Buffers(pool.Size))
 			fleet.Limit(c.Limits.Dials())
 			server.Limit(c.Limits.Clients())
-			router.Do(func() { module.Use(options(o)) })
+			d.use(options(o, c.Limits))
 			channel.Move(c.Channel)
 			slog.Info("reloaded", "channel", c.Channel)
 		}
 	}
-	slog.Info("stopping", "open", router.Open())
+	slog.Info("stopping", "open", d.open())
 	server.Stop()
 	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. Clients that go on coming keep the
 	// listener open no longer than they are allowed to come, once more.
@@ -180,20 +219,79 @@
 		}
 	}
 	l.Close()
-	for router.Open() > 0 {
+	for d.open() > 0 {
 		time.Sleep(span(margins.Linger) / 100)
 	}
 	server.Close()
 	leave()
 	fleet.Close()
-	router.Stop()
+	d.stop()
 	slog.Info("stopped")
 	return nil
 }
 
-// limitRuntime keeps Go's runtime to the machine's limits.
-func limitRuntime(l config.Limits) {
-	runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
+// decider is what decides: one module for all shards, or, as an experiment, one for each, that is told of as many more
+// directors as there are.
+type decider struct {
+	routers []*route.Router
+	modules []*logic.Logic
+	sinks   []front.Sink
+}
+
+func newDecider(s director.Settings, o logic.Options, m director.Margins, fleet *back.Fleet, shards int, divided bool) *decider {
+	d, each := &decider{}, shards
+	if divided {
+		s.Instances, each = max(1, s.Instances)*shards, 1
+	}
+	for n := 0; n < shards; n += each {
+		module := logic.New(s, o)
+		r := route.New(module, m, fleet, each)
+		d.modules, d.routers = append(d.modules, module), append(d.routers, r)
+		for _, s := range r.Shards() {
+			d.sinks = append(d.sinks, s)
+		}
+	}
+	return d
+}
+
+func (d *decider) run() {
+	for _, r := range d.routers {
+		go r.Run()
+	}
+}
+
+func (d *decider) apply(events []feed.Event) {
+	for _, r := range d.routers {
+		r.Apply(events)
+	}
+}
+
+func (d *decider) use(o logic.Options) {
+	for i, r := range d.routers {
+		r.Do(func() { d.modules[i].Use(o) })
+	}
+}
+
+func (d *decider) open() (n int) {
+	for _, r := range d.routers {
+		n += r.Open()
+	}
+	return n
+}
+
+func (d *decider) stop() {
+	for _, r := range d.routers {
+		r.Stop()
+	}
+}
+
+// limitRuntime keeps Go's runtime to the machine's limits, and to the operator's.
+func limitRuntime(l config.Limits, o config.Operator) {
+	cores := l.CoresUp()
+	if o.Cores > 0 {
+		cores = o.Shards(l)
+	}
+	runtime.GOMAXPROCS(cores)
 	debug.SetMemoryLimit(l.Memory())
 }
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -292,6 +292,13 @@
 }
 
 func (n *Node) serve(nc net.Conn) {
+	if n.w.Quick {
+		n.quickly(nc)
+		n.w.mu.Lock()
+		delete(n.conns, nc)
+		n.w.mu.Unlock()
+		return
+	}
 	out := make(chan []byte, 4096)
 	open := map[string]*request{}
 	defer func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -58,6 +58,7 @@
 	Objects        int
 	Zipf           float64
 	Listen         map[string]string // fixed addresses, by node's name or "channel"; else a free port of 127.0.0.1
+	Quick          bool              // nodes answer at once, whatever is asked, and keep no books but of keys
 	Answered       func(node string, fields map[string]string, answer string)
 }
 
@@ -99,6 +100,7 @@
 	effects map[string]effect
 	purged  map[string]time.Duration
 	rules   Broken
+	quick   quickEffects
 	names   int
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -198,7 +198,7 @@
 		Answer: 2 * s.AnswerGrace, Connect: s.ConnectTimeout, Idle: s.KeepAlive / 16, Stall: s.ConnectTimeout / 2,
 		Shared: max(1, s.Streams/100), Most: max(1, s.Streams), Linger: 2 * s.ConnectTimeout,
 		Block: s.PurgeKept / 5, Retry: s.ConnectTimeout / 4, Confirm: s.ConnectTimeout / 4,
-		Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6, Back: min(s.MaxComeBack, s.ConnectTimeout),
+		Late: s.ConnectTimeout / 8, Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6, Back: min(s.MaxComeBack, s.ConnectTimeout),
 	}
 	for _, t := range s.Types {
 		m.Flush = max(m.Flush, t.Expiry)
@@ -314,7 +314,11 @@
 	p.over = true
 	l.learn(now, dl, nt, p, out)
 	ran := out.Ending != d.TurnedAway && out.Ending != d.Unreached && out.Ending != d.NeverSent &&
-		out.Ending != d.Missing
+		out.Ending != d.Missing && out.Ending != d.Recalled
+	if out.Ending == d.Recalled { // as if it had not been decided
+		p.blameless = true
+		nt.tries -= bit(!p.ask && !p.held)
+	}
 	if !ran && dl.Key != "" {
 		l.keys.NotRun(dl.Key, p.sent)
 	}
@@ -345,7 +349,7 @@
 
 // place chooses edge and source and words the pull.
 func (l *Logic) place(now d.Micros, dl *d.Download, nt *notes) d.Answer {
-	if dl.Leaves <= now {
+	if dl.Leaves <= now || !l.keys.Room(dl.Key) {
 		return l.giveUp(now, dl, nt)
 	}
 	p := &pull{sent: now, target: l.target(dl), work: l.work(dl)}
@@ -382,7 +386,7 @@
 	if p.edge != nil && p.edge.trial && !p.fill && !p.straight && !dl.Type.PassThrough {
 		p.ask = true // a question tells soonest whether the node is back
 	}
-	if p.edge == nil || !l.keys.Room(dl.Key) {
+	if p.edge == nil {
 		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
 		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
 		if soon && (!dl.Again || nt.ask.Due()) && !late {
--- a/wheel/wheel.go
+++ b/wheel/wheel.go
@@ -3,7 +3,10 @@
 // cost grows with it.
 package wheel
 
-import "math/bits"
+import (
+	"math/bits"
+	"time"
+)
 
 const (
 	slotBits = 6
@@ -129,6 +132,14 @@
 	}
 }
 
+// Wait is how long it may be until something comes out, from a time in microseconds on: never later than that, sometimes
+// sooner, when things only move down. It is the wheel's reach where nothing is held.
+func (w *Wheel[T]) Wait(now int64) time.Duration {
+	const far = 1 << 40
+	next := w.next(w.now + far)
+	return time.Duration(max(0, next*w.tick-now)) * time.Microsecond
+}
+
 // next is the next tick at which something is due or moves down, at most until. What lies in a lower level comes before
 // all that lies in a higher one.
 func (w *Wheel[T]) next(until int64) int64 {
