--- /dev/null
+++ b/fleet/agent.go
@@ -0,0 +1,308 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	d "tallyproxy/director"
+)
+
+// State is what an agent must not forget: it is stored before any reply that rests on it leaves.
+type State struct {
+	Promised Ballot            `json:"promised"`
+	Entries  []*Entry          `json:"entries"`  // in the order they came
+	InForce  map[string]string `json:"in_force"` // by director: the script
+}
+
+// Agent is one machine's part. Check says whether a director could take a script; it reads no more than its arguments.
+type Agent struct {
+	Name  string
+	State State
+	check func(instance, script string) error
+	sum   func(script string) string
+
+	// not stored: a restart gives the holder a whole lease
+	lease   d.Micros // of the holder of the promised ballot
+	until   d.Micros
+	since   d.Micros
+	changed bool
+}
+
+// NewAgent takes up from what was stored; a first start has only what is in force.
+func NewAgent(now d.Micros, name string, s State, lease d.Micros, check func(instance, script string) error,
+	sum func(script string) string) *Agent {
+	a := &Agent{Name: name, State: s, check: check, sum: sum, lease: lease, since: now}
+	if s.Promised.N > 0 {
+		a.until = now + lease
+	}
+	if a.State.InForce == nil {
+		a.State.InForce = map[string]string{}
+	}
+	return a
+}
+
+// Changed says whether the state must be stored before anything else is done, and is then taken to be.
+func (a *Agent) Changed() bool {
+	changed := a.changed
+	a.changed = false
+	return changed
+}
+
+// Entry is what is known of a change; nil for nothing.
+func (a *Agent) Entry(id string) *Entry {
+	for _, e := range a.State.Entries {
+		if e.Change.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// Handle takes a message and answers it. The commands are to be carried out, and their ends told to Done.
+func (a *Agent) Handle(now d.Micros, m Message) (r Reply, do []Command) {
+	r = Reply{Verb: m.Verb, Seq: m.Seq}
+	switch m.Verb {
+	case Promise:
+		r.OK, r.Why = a.promise(now, m)
+	case Renew:
+		if r.OK = m.Ballot == a.State.Promised; r.OK {
+			a.until = now + m.Lease
+		}
+	case Release:
+		if r.OK = m.Ballot == a.State.Promised; r.OK {
+			a.until = now
+		}
+	case Prepare:
+		r.OK, r.Why = a.prepare(now, m)
+	case Accept:
+		r.OK, r.Why = a.accept(now, m)
+	case Learn:
+		r.OK, r.Why, do = a.learn(m)
+	case Ask:
+		r.OK = true
+	}
+	r.Ballot, r.Held, r.Left = a.State.Promised, now-a.since, max(0, a.until-now)
+	for _, e := range a.State.Entries {
+		if m.ID == e.Change.ID || m.Change != nil && m.Change.ID == e.Change.ID || m.Verb == Promise && !e.Settled() {
+			r.Entries = append(r.Entries, copyOf(e))
+		}
+	}
+	return r, do
+}
+
+func copyOf(e *Entry) Entry {
+	c := *e
+	c.Local = map[string]*Local{}
+	for name, l := range e.Local {
+		local := *l
+		c.Local[name] = &local
+	}
+	if e.Vote != nil {
+		vote := *e.Vote
+		c.Vote = &vote
+	}
+	return c
+}
+
+// promise gives the right to change to a higher ballot, where nobody else's lease runs.
+func (a *Agent) promise(now d.Micros, m Message) (bool, string) {
+	held := a.State.Promised
+	switch {
+	case m.Ballot == held: // it was lost on its way
+	case !held.Less(m.Ballot):
+		return false, fault("a higher right was given, to %s", held.Holder)
+	case held.N > 0 && held.Holder != m.Ballot.Holder && a.until > now:
+		return false, fault("held by %s", held.Holder)
+	default:
+		a.State.Promised, a.changed, a.since = m.Ballot, true, now
+	}
+	a.until = now + m.Lease
+	return true, ""
+}
+
+// fenced says whether a ballot has been taken over.
+func (a *Agent) fenced(now d.Micros, m Message) (string, bool) {
+	if m.Ballot.Less(a.State.Promised) {
+		return fault("taken over by %s", a.State.Promised.Holder), true
+	}
+	if a.State.Promised.Less(m.Ballot) { // its promise was lost, or given elsewhere
+		a.State.Promised, a.changed, a.since, a.until = m.Ballot, true, now, now+a.lease
+	}
+	return "", false
+}
+
+// prepare checks a change for this agent's directors and stores it.
+func (a *Agent) prepare(now d.Micros, m Message) (bool, string) {
+	if why, out := a.fenced(now, m); out {
+		return false, why
+	}
+	if e := a.Entry(m.Change.ID); e != nil {
+		for _, l := range e.Local {
+			if l.Phase == Refused {
+				return false, l.Why
+			}
+		}
+		return e.Outcome != Drop && e.Local != nil, "it was dropped"
+	}
+	e := &Entry{Change: m.Change, Local: map[string]*Local{}}
+	for _, t := range m.Change.Targets {
+		if t.Agent != a.Name {
+			continue
+		}
+		before, mine := a.State.InForce[t.Instance]
+		l := &Local{Before: before}
+		e.Local[t.Instance] = l
+		switch err := a.check(t.Instance, t.Script); {
+		case !mine:
+			l.Why = fault("%s: not a director of %s", t.Instance, a.Name)
+		case a.sum(before) != t.Base:
+			l.Why = fault("%s: something else is in force than the change was made for", t.Instance)
+		case a.busy(t.Instance):
+			l.Why = fault("%s: an earlier change is not over", t.Instance)
+		case err != nil:
+			l.Why = fault("%s: %v", t.Instance, err)
+		}
+		if l.Why != "" {
+			l.Phase = Refused
+		}
+	}
+	a.add(e)
+	for _, name := range slices.Sorted(maps.Keys(e.Local)) {
+		if e.Local[name].Phase == Refused {
+			return false, e.Local[name].Why
+		}
+	}
+	return true, ""
+}
+
+// busy says whether a director has an unfinished part in an earlier change.
+func (a *Agent) busy(instance string) bool {
+	for _, e := range a.State.Entries {
+		if l := e.Local[instance]; l != nil && !l.Over() {
+			return true
+		}
+	}
+	return false
+}
+
+// add remembers a change, and forgets the oldest settled one where there are too many.
+func (a *Agent) add(e *Entry) {
+	a.changed = true
+	a.State.Entries = append(a.State.Entries, e)
+	for i := 0; len(a.State.Entries) > keptEntries && i < len(a.State.Entries); i++ {
+		if a.State.Entries[i].Settled() {
+			a.State.Entries = slices.Delete(a.State.Entries, i, i+1)
+			i--
+		}
+	}
+}
+
+// accept accepts a decision, unless a higher ballot was promised.
+func (a *Agent) accept(now d.Micros, m Message) (bool, string) {
+	if why, out := a.fenced(now, m); out {
+		return false, why
+	}
+	e := a.Entry(m.Change.ID)
+	if e == nil { // no part in it, or it was not reached: it can hold the decision all the same
+		e = &Entry{Change: m.Change}
+		a.add(e)
+	}
+	if e.Vote == nil || *e.Vote != (Vote{m.Ballot, m.Outcome}) {
+		e.Vote, a.changed = &Vote{m.Ballot, m.Outcome}, true
+	}
+	return true, ""
+}
+
+// learn takes what was chosen. It needs no ballot: it can't be otherwise any more.
+func (a *Agent) learn(m Message) (bool, string, []Command) {
+	id := m.ID
+	if m.Change != nil {
+		id = m.Change.ID
+	}
+	e := a.Entry(id)
+	if e == nil && m.Change != nil {
+		e = &Entry{Change: m.Change}
+		a.add(e)
+	}
+	if e == nil {
+		return false, "not known", nil
+	}
+	if e.Outcome != Open && e.Outcome != m.Outcome {
+		return false, fault("%s was chosen, not %s", e.Outcome, m.Outcome), nil // never, unless an agent forgot what it must not
+	}
+	waves, final := max(e.Waves, m.Waves), e.Final || m.Final
+	if e.Final {
+		waves = e.Waves
+	}
+	if e.Outcome != m.Outcome || e.Waves != waves || e.Final != final {
+		e.Outcome, e.Waves, e.Final, a.changed = m.Outcome, waves, final, true
+	}
+	return true, "", a.drive(e)
+}
+
+// drive moves an entry's directors on as far as what was chosen allows.
+func (a *Agent) drive(e *Entry) (do []Command) {
+	for _, t := range e.Change.Targets {
+		l := e.Local[t.Instance]
+		if l == nil || t.Agent != a.Name || l.Phase != Waiting {
+			continue
+		}
+		switch {
+		case e.Outcome == Drop || e.Outcome == Go && e.Final && t.Wave > e.Waves:
+			l.Phase, a.changed = Untouched, true
+		case e.Outcome == Go && t.Wave <= e.Waves:
+			l.Phase, a.changed = Going, true
+			do = append(do, Command{e.Change.ID, t.Instance, t.Script, l.Before})
+		}
+	}
+	return do
+}
+
+// Unfinished are the commands that a restart finds begun: the director may have what it was told, or not.
+func (a *Agent) Unfinished() (do []Command) {
+	for _, e := range a.State.Entries {
+		for _, t := range e.Change.Targets {
+			if l := e.Local[t.Instance]; l != nil && l.Phase == Going {
+				do = append(do, Command{e.Change.ID, t.Instance, t.Script, l.Before})
+			}
+		}
+		do = append(do, a.drive(e)...)
+	}
+	return do
+}
+
+// Done takes a command's end: why is empty where the director runs the script, read back from it.
+func (a *Agent) Done(c Command, why string) {
+	e := a.Entry(c.ID)
+	if e == nil || e.Local[c.Instance] == nil || e.Local[c.Instance].Phase != Going {
+		return
+	}
+	a.changed = true
+	l := e.Local[c.Instance]
+	if l.Phase, l.Why = InForce, why; why != "" {
+		l.Phase = Failed
+		return
+	}
+	a.State.InForce[c.Instance] = c.Script
+}
+
+// Doubts are the changes of which this agent should ask the others what became of them.
+func (a *Agent) Doubts() (ids []string) {
+	for _, e := range a.State.Entries {
+		if !e.Settled() && len(e.Local) > 0 {
+			ids = append(ids, e.Change.ID)
+		}
+	}
+	return ids
+}
+
+// Heard takes another agent's answer to Ask: what it knows to be chosen is so.
+func (a *Agent) Heard(r Reply) (do []Command) {
+	for _, e := range r.Entries {
+		if e.Outcome != Open && a.Entry(e.Change.ID) != nil {
+			_, _, more := a.learn(Message{ID: e.Change.ID, Outcome: e.Outcome, Waves: e.Waves, Final: e.Final})
+			do = append(do, more...)
+		}
+	}
+	return do
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,468 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	d "tallyproxy/director"
+)
+
+func sum(script string) string { return "sum of " + script }
+
+// machine is an agent with what it has stored and what its directors run.
+type machine struct {
+	*Agent
+	stored []byte
+	runs   map[string]string
+	do     []Command
+	down   bool
+}
+
+// world is a fleet with a network that loses, repeats, delays and mixes up.
+type world struct {
+	now      d.Micros
+	machines map[string]*machine
+	names    []string
+	tools    map[int]*Coordinator // running, by ballot number
+	flight   []item
+	n        int64
+	refuse   map[string]bool // directors that would not have what their agent checked
+	chosen   map[string]Outcome
+	went     map[string]bool // change and instance that were driven
+	err      error
+}
+
+type item struct {
+	to    string // an agent, or a tool's number
+	from  string
+	send  *Message
+	reply *Reply
+}
+
+func newWorld(agents int) *world {
+	w := &world{
+		now: d.Second, machines: map[string]*machine{}, tools: map[int]*Coordinator{}, refuse: map[string]bool{},
+		chosen: map[string]Outcome{}, went: map[string]bool{},
+	}
+	for i := range agents {
+		name := fmt.Sprint("a", i)
+		m := &machine{runs: map[string]string{}}
+		s := State{InForce: map[string]string{}}
+		for j := range 2 {
+			instance := fmt.Sprintf("n%d%d", i, j)
+			s.InForce[instance], m.runs[instance] = "base", "base"
+		}
+		w.machines[name], w.names = m, append(w.names, name)
+		m.stored, _ = json.Marshal(s)
+		w.boot(name)
+	}
+	return w
+}
+
+// boot starts an agent from what it had stored.
+func (w *world) boot(name string) {
+	m := w.machines[name]
+	var s State
+	if err := json.Unmarshal(m.stored, &s); err != nil {
+		panic(err)
+	}
+	check := func(_, script string) error {
+		if strings.Contains(script, "faulty") {
+			return errors.New("faulty")
+		}
+		return nil
+	}
+	m.Agent, m.down = NewAgent(w.now, name, s, 10*d.Second, check, sum), false
+	m.do = m.Unfinished()
+	w.store(m)
+}
+
+func (w *world) store(m *machine) {
+	if m.Changed() {
+		m.stored, _ = json.Marshal(m.State)
+	}
+	for _, e := range m.State.Entries {
+		if e.Outcome == Open {
+			continue
+		}
+		if old, ok := w.chosen[e.Change.ID]; ok && old != e.Outcome {
+			w.err = fmt.Errorf("%s was decided as %s and as %s", e.Change.ID, old, e.Outcome)
+		}
+		w.chosen[e.Change.ID] = e.Outcome
+	}
+}
+
+func (w *world) tool(change *Change) *Coordinator {
+	w.n++
+	c := NewCoordinator(fmt.Sprint("op", w.n), w.n, w.names, change, DefaultTimes(), nil)
+	w.tools[int(w.n)] = c
+	w.out(int(w.n), c.Start(w.now))
+	return c
+}
+
+func (w *world) out(tool int, sends []Send) {
+	for _, s := range sends {
+		m := s.Message
+		w.flight = append(w.flight, item{to: s.To, from: fmt.Sprint(tool), send: &m})
+	}
+}
+
+// deliver delivers one thing.
+func (w *world) deliver(it item) {
+	if it.send != nil {
+		m := w.machines[it.to]
+		if m.down {
+			return
+		}
+		r, do := m.Handle(w.now, *it.send)
+		w.store(m)
+		m.do = append(m.do, do...)
+		w.flight = append(w.flight, item{to: it.from, from: it.to, reply: &r})
+		return
+	}
+	if m := w.machines[it.to]; m != nil { // an answer to Ask
+		if !m.down {
+			do := m.Heard(*it.reply)
+			w.store(m)
+			m.do = append(m.do, do...)
+		}
+		return
+	}
+	var n int
+	fmt.Sscan(it.to, &n)
+	if c := w.tools[n]; c != nil {
+		w.out(n, c.Got(w.now, it.from, *it.reply))
+	}
+}
+
+// carry has an agent carry out what it was told.
+func (w *world) carry(m *machine) {
+	if len(m.do) == 0 || m.down {
+		return
+	}
+	c := m.do[0]
+	m.do = m.do[1:]
+	w.went[c.ID+" "+c.Instance] = true
+	if w.chosen[c.ID] != Go {
+		w.err = fmt.Errorf("%s: %s was driven though the change was %s", c.ID, c.Instance, w.chosen[c.ID])
+	}
+	why := ""
+	if w.refuse[c.Instance] {
+		why = "it would not have it"
+		m.runs[c.Instance] = c.Before
+	} else {
+		m.runs[c.Instance] = c.Script
+	}
+	m.Done(c, why)
+	w.store(m)
+}
+
+func (w *world) ask(m *machine) {
+	for _, id := range m.Doubts() {
+		for _, other := range w.names {
+			if other != m.Name {
+				w.flight = append(w.flight, item{to: other, from: m.Name, send: &Message{Verb: Ask, ID: id}})
+			}
+		}
+	}
+}
+
+// calm lets all that is under way come to its end.
+func (w *world) calm(rounds int) {
+	for range rounds {
+		for len(w.flight) > 0 {
+			it := w.flight[0]
+			w.flight = w.flight[1:]
+			w.deliver(it)
+		}
+		for _, name := range w.names {
+			for m := w.machines[name]; len(m.do) > 0 && !m.down; {
+				w.carry(m)
+			}
+		}
+		w.now += d.Second / 4
+		for _, n := range slices.Sorted(maps.Keys(w.tools)) {
+			w.out(n, w.tools[n].Tick(w.now))
+		}
+	}
+}
+
+func (w *world) change(id, script string, waves int) *Change {
+	c := &Change{ID: id, By: "op", Note: "x"}
+	i := 0
+	for _, name := range w.names {
+		m := w.machines[name]
+		for _, instance := range slices.Sorted(maps.Keys(m.runs)) {
+			c.Targets = append(c.Targets, Target{
+				Instance: instance, Agent: name, Base: sum(m.State.InForce[instance]), Script: script, Wave: 1 + i%waves,
+			})
+			i++
+		}
+	}
+	return c
+}
+
+func TestWholeChange(t *testing.T) {
+	cases := []struct {
+		name    string
+		waves   int
+		script  string
+		before  func(w *world)
+		outcome Outcome
+		states  string // of all directors, counted
+		refused string
+	}{
+		{"all at once", 1, "new", func(*world) {}, Go, "changed:6", ""},
+		{"in three waves", 3, "new", func(*world) {}, Go, "changed:6", ""},
+		{"a faulty script", 1, "faulty", func(*world) {}, Drop, "untouched:6", "a0: n00: faulty"},
+		{"one agent is down", 1, "new", func(w *world) { w.machines["a1"].down = true }, Drop, "untouched:6", "a1: does not answer"},
+		{"a majority is down", 1, "new", func(w *world) {
+			w.machines["a1"].down, w.machines["a2"].down = true, true
+		}, Open, "", "no majority of the agents answers"},
+		{"a director would not have it: the waves stop", 2, "new", func(w *world) { w.refuse["n00"] = true }, Go,
+			"changed:2 untouched:4", ""},
+		{"something else is in force", 1, "new", func(w *world) { w.machines["a2"].State.InForce["n21"] = "other" }, Drop,
+			"untouched:6", "a2: n21: something else is in force than the change was made for"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(3)
+			change := w.change("c1", c.script, c.waves)
+			c.before(w)
+			tool := w.tool(change)
+			w.calm(200)
+			r := tool.Result()
+			counts := map[string]int{}
+			for _, e := range r.Ends {
+				counts[e.State]++
+			}
+			var got []string
+			for _, state := range slices.Sorted(maps.Keys(counts)) {
+				got = append(got, fmt.Sprint(state, ":", counts[state]))
+			}
+			if tool.Step() != Ended || r.Outcome != c.outcome || strings.Join(got, " ") != c.states || r.Refused != c.refused || w.err != nil {
+				t.Errorf("%v: %+v, %v", tool.Step(), r, w.err)
+			}
+		})
+	}
+}
+
+func TestTwoOperators(t *testing.T) {
+	w := newWorld(3)
+	first := w.tool(w.change("c1", "one", 1))
+	for range 6 { // the right is given, nothing is decided
+		it := w.flight[0]
+		w.flight = w.flight[1:]
+		w.deliver(it)
+	}
+	w.now += 2 * d.Second
+	w.flight = nil
+	second := w.tool(w.change("c2", "two", 1))
+	for len(w.flight) > 0 {
+		it := w.flight[0]
+		w.flight = w.flight[1:]
+		w.deliver(it)
+	}
+	if r := second.Result(); second.Step() != Ended || r.Holder != "op1" || r.Held != 2*d.Second || r.Left <= 0 {
+		t.Fatalf("the second: %+v", r)
+	}
+	delete(w.tools, 1) // the first dies; its lease runs out
+	w.now += 20 * d.Second
+	third := w.tool(w.change("c3", "three", 1))
+	w.calm(100)
+	if r := third.Result(); r.Outcome != Go || !r.Whole() {
+		t.Fatalf("the third: %+v", r)
+	}
+	w.tools[1] = first // late messages of the first are fenced off
+	for _, a := range w.names {
+		for _, verb := range []Verb{Prepare, Accept} {
+			r, do := w.machines[a].Handle(w.now, Message{Verb: verb, Ballot: Ballot{1, "op1"}, Change: w.change("c1", "one", 1), Outcome: Go})
+			if r.OK || len(do) > 0 || !strings.Contains(r.Why, "taken over by op3") {
+				t.Errorf("%s: %+v", a, r)
+			}
+		}
+	}
+}
+
+// Killed at any step, the tool leaves a fleet that another tool brings to one end, and says which.
+func TestToolKilledAtEveryStep(t *testing.T) {
+	for after := range 60 {
+		for _, down := range []string{"", "a1"} {
+			w := newWorld(3)
+			w.tool(w.change("c1", "new", 2))
+			for n := 0; n < after; n++ {
+				if len(w.flight) == 0 {
+					w.calm(1)
+					continue
+				}
+				it := w.flight[0]
+				w.flight = w.flight[1:]
+				w.deliver(it)
+				if n%4 == 3 {
+					for _, name := range w.names {
+						w.carry(w.machines[name])
+					}
+				}
+			}
+			w.tools, w.flight = map[int]*Coordinator{}, nil
+			if down != "" { // and an agent with it, which comes back from what it stored
+				w.machines[down].down = true
+			}
+			w.now += 20 * d.Second
+			w.tool(nil)
+			w.calm(200)
+			if down != "" {
+				w.boot(down)
+				w.ask(w.machines[down])
+				w.calm(50)
+			}
+			w.tool(nil)
+			w.calm(200)
+			w.whole(t.Errorf, fmt.Sprint("after ", after, " steps, down ", down))
+		}
+	}
+}
+
+// whole checks that every director runs one change's script whole, that the decision is one, and that nothing is left open.
+func (w *world) whole(fail func(string, ...any), when string) {
+	if w.err != nil {
+		fail("%s: %v", when, w.err)
+	}
+	for _, name := range w.names {
+		m := w.machines[name]
+		for _, e := range m.State.Entries {
+			for _, t := range e.Change.Targets { // decided to go means prepared everywhere
+				other := w.machines[t.Agent].Entry(e.Change.ID)
+				if e.Outcome == Go && (other == nil || other.Local[t.Instance] == nil || other.Local[t.Instance].Phase == Refused) {
+					fail("%s: %s was decided though %s could not take it", when, e.Change.ID, t.Instance)
+				}
+			}
+			for instance, l := range e.Local {
+				runs := m.runs[instance]
+				switch want := ""; {
+				case !l.Over():
+					fail("%s: %s of %s is left %v, %s is %v", when, instance, name, l.Phase, e.Change.ID, e.Outcome)
+				case l.Phase == InForce:
+					for _, t := range e.Change.Targets {
+						if t.Instance == instance {
+							want = t.Script
+						}
+					}
+					if e == m.State.Entries[len(m.State.Entries)-1] && runs != want {
+						fail("%s: %s runs %q though %s is in force", when, instance, runs, e.Change.ID)
+					}
+				case w.went[e.Change.ID+" "+instance] && l.Phase != Failed:
+					fail("%s: %s was driven to %s, and is told to be %v", when, instance, e.Change.ID, l.Phase)
+				}
+			}
+			if e.Outcome == Open && len(e.Local) > 0 {
+				fail("%s: %s is left open at %s", when, e.Change.ID, name)
+			}
+		}
+		for instance, script := range m.State.InForce {
+			if m.runs[instance] != script {
+				fail("%s: %s runs %q, its agent takes it for %q", when, instance, m.runs[instance], script)
+			}
+		}
+	}
+}
+
+// Any history of losses, repeats, delays, deaths and several tools ends, once all is calm, with every director fully changed or
+// untouched and every decision one.
+func TestAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 4).Draw(t, "agents"))
+		changes := 0
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			name := rapid.SampledFrom(w.names).Draw(t, "agent")
+			m := w.machines[name]
+			switch what := rapid.IntRange(0, 14).Draw(t, "what"); {
+			case what == 0 && changes < 4:
+				changes++
+				script := rapid.SampledFrom([]string{"x", "y", "faulty"}).Draw(t, "script")
+				w.tool(w.change(fmt.Sprint("c", changes), fmt.Sprint(script, changes), rapid.IntRange(1, 3).Draw(t, "waves")))
+			case what == 1:
+				m.down = true
+				m.do = nil
+			case what == 2 && m.down:
+				w.boot(name)
+			case what == 3 && len(w.tools) > 0:
+				tools := slices.Sorted(maps.Keys(w.tools))
+				delete(w.tools, rapid.SampledFrom(tools).Draw(t, "tool"))
+			case what == 4 && len(w.tools) < 3:
+				w.tool(nil)
+			case what == 5:
+				w.now += d.Micros(rapid.IntRange(1, 20_000_000).Draw(t, "time"))
+				for _, n := range slices.Sorted(maps.Keys(w.tools)) {
+					w.out(n, w.tools[n].Tick(w.now))
+				}
+			case what == 6:
+				w.carry(m)
+			case what == 7 && !m.down:
+				w.ask(m)
+			case what == 8:
+				w.refuse[fmt.Sprint("n", name[1:], "0")] = rapid.Bool().Draw(t, "refuses")
+			case len(w.flight) > 0:
+				i := rapid.IntRange(0, len(w.flight)-1).Draw(t, "message")
+				it := w.flight[i]
+				if what == 9 { // lost
+					w.flight = slices.Delete(w.flight, i, i+1)
+					continue
+				}
+				if what != 10 { // else it comes again
+					w.flight = slices.Delete(w.flight, i, i+1)
+				}
+				w.deliver(it)
+			}
+			if w.err != nil {
+				t.Fatal(w.err)
+			}
+		}
+		w.refuse = map[string]bool{}
+		w.tools = map[int]*Coordinator{} // the tools die, what they said still comes
+		for _, name := range w.names {
+			if w.machines[name].down {
+				w.boot(name)
+			}
+		}
+		for range 3 {
+			w.calm(10)
+			w.now += 30 * d.Second
+			w.tool(nil)
+			w.calm(200)
+			for _, name := range w.names {
+				w.ask(w.machines[name])
+			}
+		}
+		w.calm(20)
+		w.whole(t.Fatalf, "at the end")
+	})
+}
+
+// Of two decisions that were accepted somewhere, the one of the higher ballot holds: the lower one can't have been chosen.
+func TestHigherVoteHolds(t *testing.T) {
+	for _, outcome := range []Outcome{Go, Drop} {
+		w := newWorld(3)
+		change := w.change("c1", "new", 1)
+		for _, name := range w.names {
+			w.machines[name].Handle(w.now, Message{Verb: Prepare, Ballot: Ballot{1, "x"}, Change: change})
+		}
+		other := Go + Drop - outcome
+		w.machines["a0"].Handle(w.now, Message{Verb: Accept, Ballot: Ballot{1, "x"}, Change: change, Outcome: other})
+		w.machines["a1"].Handle(w.now, Message{Verb: Accept, Ballot: Ballot{2, "y"}, Change: change, Outcome: outcome})
+		w.machines["a2"].down = true
+		w.n, w.now = 10, w.now+30*d.Second
+		w.tool(nil)
+		w.calm(200)
+		if got := w.machines["a0"].Entry("c1").Outcome; got != outcome {
+			t.Errorf("%v was decided, want %v", got, outcome)
+		}
+	}
+}
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -105,7 +105,7 @@
 	return fmt.Sprintf("machine(cores = %d)\nstorm(mode = %q)\n", max(1, s.Cores), map[string]string{"on": "guard", "off": "silent", "fixed": "fixed"}[s.Guard])
 }
 
-// counter counts lines that say a storm rises.
+// counter is a log of several directors. It counts lines that say a storm rises.
 type counter struct {
 	mu   sync.Mutex
 	to   io.Writer
@@ -122,6 +122,16 @@
 	return len(b), nil
 }
 
+// String is what was written, where that is kept.
+func (c *counter) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if text, ok := c.to.(fmt.Stringer); ok {
+		return text.String()
+	}
+	return ""
+}
+
 // Play plays it. An error is for what could not be played; broken rules stand in the result.
 func (s *Storm) Play(ctx context.Context) (r Result, err error) {
 	spec := standin.Depot(s.Boxes, s.Directors)
