--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"runtime/debug"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -29,6 +30,7 @@
 
 // OpenStore opens or makes the file; another agent that has it open is an error after a second.
 func OpenStore(path string) (s *Store, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // the file is mapped: what was cut off it faults
 	defer func() {
 		if bad := recover(); bad != nil { // a file that was cut off can fault the library
 			s, err = nil, fmt.Errorf("%s: %w: %v", path, ErrDamaged, bad)
@@ -49,6 +51,7 @@
 
 // Load gives what was saved last; ok is false where nothing was.
 func (s *Store) Load() (state fleet.State, ok bool, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if bad := recover(); bad != nil {
 			err = fmt.Errorf("%w: %v", ErrDamaged, bad)
