--- a/internal/lab/director.go
+++ b/internal/lab/director.go
@@ -41,12 +41,10 @@
 // NewDirector writes a director's configuration into a folder; Start runs it. Argv starts it, with the path of the
 // operator's script appended where there is one.
 func NewDirector(w *standin.World, folder, name string, argv []string, script string, l Limits, log io.Writer) (*Director, error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	addr := free.Addr().String()
-	free.Close()
 	d := &Director{argv: argv, log: log}
 	d.Addr = addr
 	d.config = filepath.Join(folder, name+".json")
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tallyproxy/internal/agent"
@@ -27,6 +28,8 @@
 	agents    map[string]*runningAgent
 }
 
+var addresses atomic.Int64
+
 type runningAgent struct {
 	leave context.CancelFunc
 	ended chan error
@@ -86,8 +89,11 @@
 	return f, err
 }
 
+// freeAddress is one where nothing listens. Each is on a loopback address of its own, where no connection that goes out takes
+// the port before it is listened at.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 2+n/62500%50, n/250%250, 1+n%250))
 	if err != nil {
 		return "", err
 	}
