--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -110,9 +111,9 @@
 	switch {
 	case m.Ballot == held: // it was lost on its way
 	case !held.Less(m.Ballot):
-		return false, fault("a higher right was given, to %s", held.Holder)
+		return false, fmt.Sprintf("a higher right was given, to %s", held.Holder)
 	case held.N > 0 && held.Holder != m.Ballot.Holder && a.until > now:
-		return false, fault("held by %s", held.Holder)
+		return false, fmt.Sprintf("held by %s", held.Holder)
 	default:
 		a.State.Promised, a.changed, a.since = m.Ballot, true, now
 	}
@@ -123,7 +124,7 @@
 // fenced says whether a ballot has been taken over.
 func (a *Agent) fenced(now d.Micros, m Message) (string, bool) {
 	if m.Ballot.Less(a.State.Promised) {
-		return fault("taken over by %s", a.State.Promised.Holder), true
+		return fmt.Sprintf("taken over by %s", a.State.Promised.Holder), true
 	}
 	if a.State.Promised.Less(m.Ballot) { // its promise was lost, or given elsewhere
 		a.State.Promised, a.changed, a.since, a.until = m.Ballot, true, now, now+a.lease
@@ -154,13 +155,13 @@
 		e.Local[t.Instance] = l
 		switch err := a.check(t.Instance, t.Script); {
 		case !mine:
-			l.Why = fault("%s: not a director of %s", t.Instance, a.Name)
+			l.Why = fmt.Sprintf("%s: not a director of %s", t.Instance, a.Name)
 		case a.sum(before) != t.Base:
-			l.Why = fault("%s: something else is in force than the change was made for", t.Instance)
+			l.Why = fmt.Sprintf("%s: something else is in force than the change was made for", t.Instance)
 		case a.busy(t.Instance):
-			l.Why = fault("%s: an earlier change is not over", t.Instance)
+			l.Why = fmt.Sprintf("%s: an earlier change is not over", t.Instance)
 		case err != nil:
-			l.Why = fault("%s: %v", t.Instance, err)
+			l.Why = fmt.Sprintf("%s: %v", t.Instance, err)
 		}
 		if l.Why != "" {
 			l.Phase = Refused
@@ -228,7 +229,7 @@
 		return false, "not known", nil
 	}
 	if e.Outcome != Open && e.Outcome != m.Outcome {
-		return false, fault("%s was chosen, not %s", e.Outcome, m.Outcome), nil // never, unless an agent forgot what it must not
+		return false, fmt.Sprintf("%s was chosen, not %s", e.Outcome, m.Outcome), nil // never, unless an agent forgot what it must not
 	}
 	waves, final := max(e.Waves, m.Waves), e.Final || m.Final
 	if e.Final {
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -398,7 +399,7 @@
 	case failed != "":
 		c.stop = failed
 	case pending > 0:
-		c.stop = fault("wave %d did not come to its end", c.wave)
+		c.stop = fmt.Sprintf("wave %d did not come to its end", c.wave)
 	case c.worse != nil:
 		c.stop = c.worse()
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 
 	d "tallyproxy/director"
@@ -176,5 +175,3 @@
 }
 
 const keptEntries = 64 // settled changes that an agent remembers
-
-func fault(format string, args ...any) string { return fmt.Sprintf(format, args...) }
--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -75,6 +75,18 @@
 	return os.Rename(tmp, path)
 }
 
+// putPair writes a key and its certificate, the key first.
+func putPair(certPath, keyPath string, der []byte, key *ecdsa.PrivateKey) error {
+	kder, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return err
+	}
+	if err := put(keyPath, "EC PRIVATE KEY", kder, true); err != nil {
+		return err
+	}
+	return put(certPath, "CERTIFICATE", der, false)
+}
+
 // get reads a PEM file of one kind.
 func get(path, kind string) ([]byte, error) {
 	raw, err := os.ReadFile(path)
@@ -128,14 +140,7 @@
 	if err != nil {
 		return err
 	}
-	kder, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		return err
-	}
-	if err := put(filepath.Join(dir, caKey), "EC PRIVATE KEY", kder, true); err != nil {
-		return err
-	}
-	if err := put(filepath.Join(dir, caCert), "CERTIFICATE", der, false); err != nil {
+	if err := putPair(filepath.Join(dir, caCert), filepath.Join(dir, caKey), der, key); err != nil {
 		return err
 	}
 	return Revoke(dir, nil, now)
@@ -196,17 +201,10 @@
 	if err != nil {
 		return err
 	}
-	kder, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		return err
-	}
 	if err := os.MkdirAll(into, 0o700); err != nil {
 		return err
 	}
-	if err := put(filepath.Join(into, name+"-key.pem"), "EC PRIVATE KEY", kder, true); err != nil {
-		return err
-	}
-	return put(filepath.Join(into, name+".pem"), "CERTIFICATE", der, false)
+	return putPair(filepath.Join(into, name+".pem"), filepath.Join(into, name+"-key.pem"), der, key)
 }
 
 // Revoke adds certificates to the list of those that hold no more.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -197,9 +197,7 @@
 	for _, e := range events {
 		r.Do(func() { r.apply(e) })
 	}
-	for _, s := range r.shards {
-		s.calls.Push(func() {})
-	}
+	r.nudge()
 }
 
 func (r *Router) apply(e feed.Event) {
@@ -267,6 +265,11 @@
 			r.apply(e)
 		}
 	})
+	r.nudge()
+}
+
+// nudge has each shard take a turn, with which it shows that it has taken what came.
+func (r *Router) nudge() {
 	for _, s := range r.shards {
 		s.calls.Push(func() {})
 	}
--- a/storm/guard.go
+++ b/storm/guard.go
@@ -162,6 +162,9 @@
 	return g
 }
 
+// promised is the work that is promised for a window, of those ahead.
+func (g *Guard) promised(window int64) *float64 { return &g.ahead[window%int64(len(g.ahead))] }
+
 func (g *Guard) present() *tally { return &g.past[g.at%back] }
 
 // Connected hears of a client's new connection.
@@ -195,7 +198,8 @@
 				a.came, a.due = true, p.work > 0
 				t.due += float64(p.work)
 				if w := int64(p.at / g.span); w >= g.at {
-					g.ahead[w%int64(len(g.ahead))] = max(0, g.ahead[w%int64(len(g.ahead))]-float64(p.work))
+					held := g.promised(w)
+					*held = max(0, *held-float64(p.work))
 				}
 			}
 			*p = place{}
@@ -209,7 +213,7 @@
 		g.enter(now, Rising)
 	}
 	if a.Again && !a.due && g.state >= Held {
-		left := g.ahead[g.at%int64(len(g.ahead))] * max(leastKept, g.kept)
+		left := *g.promised(g.at) * max(leastKept, g.kept)
 		rest := 1 - float64(now%g.span)/float64(g.span)
 		if t.let+left+g.first*rest+a.Work > g.capacity(now) {
 			return false
@@ -273,7 +277,7 @@
 		if begin < now+g.span/2 { // it could hardly be there
 			continue
 		}
-		held, room := &g.ahead[w%int64(len(g.ahead))], g.room(begin)
+		held, room := g.promised(w), g.room(begin)
 		if *held > 0 && *held+a.Work > room*share || room <= 0 {
 			continue
 		}
@@ -386,9 +390,9 @@
 	}
 	for g.at < to {
 		g.closed(now)
-		g.ahead[g.at%int64(len(g.ahead))] = 0
+		*g.promised(g.at) = 0
 		g.at++
-		g.past[g.at%back] = tally{promised: g.ahead[g.at%int64(len(g.ahead))]}
+		g.past[g.at%back] = tally{promised: *g.promised(g.at)}
 		g.top.fade()
 		if g.at%int64(8*g.s.Windows) == 0 {
 			g.early.fade()
