--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -373,7 +373,7 @@
 // run opens the connection and holds it to its end.
 func (c *conn) run() {
 	defer c.p.f.held.Add(-1)
-	nc, err := net.DialTimeout("tcp", c.p.addr, span(c.p.f.margins.Connect))
+	nc, err := net.DialTimeout("tcp4", c.p.addr, span(c.p.f.margins.Connect))
 	c.p.mu.Lock()
 	if err != nil || c.dead {
 		if err == nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -155,13 +156,20 @@
 	return events, nil
 }
 
+// dialIPv4 keeps the channel's connections on TCP over IPv4: the fleet's bench refuses other sockets, and a
+// name that also stands for an IPv6 address must not open one.
+func dialIPv4(ctx context.Context, _, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
 // Follow asks the channel for what comes next until the context ends, each time at the address that Move named last.
 // Each answer's events are handed on together and in order.
 func (f *Feed) Follow(ctx context.Context, m director.Margins, apply func([]Event)) {
 	block := time.Duration(m.Block) * time.Microsecond
 	client := &http.Client{
 		Timeout:   block + 2*time.Duration(m.Connect)*time.Microsecond,
-		Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true},
+		Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, DialContext: dialIPv4},
 	}
 	defer client.CloseIdleConnections()
 	failed := false
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -169,7 +169,7 @@
 	}
 	d.avoid(o.Avoid)
 	d.apply(known)
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := net.Listen("tcp4", c.Listen) // IPv4 alone: a wildcard address would open an IPv6 socket
 	if err != nil {
 		return err
 	}
