Homes by rendezvous weighted with the nodes' sizes where the settings vouch for them

Checks made: the adapter already read `heft` into Node.Weight (internal/wire) and the program's feed reads `weight`; the module never used it (logic.go pick, fits, Able).

A weight of 0 is taken as 1e-3, not as a division by zero.

Test: TestSizedHomes fails without the change (an even third each where a node of size 2 should have half).

--- a/director/director.go
+++ b/director/director.go
@@ -83,6 +83,7 @@
 	Direct      bool // downloads may go straight to a parent or the origin
 	JoinFills   bool
 	SourcesTold bool // answers tell how a fill went and why it failed
+	Sized       bool // the list's weights are the nodes' sizes; else every node counts as one
 	CanCancel   bool
 	TwoAtOnce   bool // two pulls of a download may be out together
 	MostPulls   int
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -58,17 +58,26 @@
 		SharesFills    bool      `json:"shares-fills"`
 		Straight       bool      `json:"straight"`
 	} `json:"specifics"`
-	Zone  int      `json:"zone"`
-	Zones []string `json:"zones"`
-	Kinds []string `json:"machine-types"`
+	Zone    int      `json:"zone"`
+	Zones   []string `json:"zones"`
+	Kinds   []string `json:"machine-types"`
+	Weights string   `json:"weights"`
 }
 
 // Site is the settings with the names that the protocols use for what is counted there.
 type Site struct {
 	director.Settings
 	Types, Zones, Kinds []string
+	Weights, NoteLevel  string // as they were given, for the check of the shape
 }
 
+// The two shapes of a deployment, by the words of the two keys that tell them apart: the old one with nodes of one
+// size and answers that tell hits, the new one with nodes of their registered sizes and answers that tell nothing.
+var (
+	weightsShape = map[string]string{"": "old", "silent": "old", "nominal": "new", "rough": "new"}
+	notesShape   = map[string]string{"": "old", "all": "old", "hit": "old", "silent": "new"}
+)
+
 var repeats = map[string]director.Repeat{
 	"free": director.Retriable, "guarded": director.Deduped, "single_shot": director.NonRetriable,
 }
@@ -93,6 +102,7 @@
 		s.OriginKind = *sp.OriginKind
 	}
 	s.Direct, s.JoinFills, s.SourcesTold = sp.Straight, sp.SharesFills, sp.NoteLevel == "all"
+	s.Weights, s.NoteLevel, s.Sized = p.Weights, sp.NoteLevel, weightsShape[p.Weights] == "new"
 	s.CanCancel, s.TwoAtOnce = p.Limits.Cancel, p.Limits.SecondCopies
 	s.Instances, s.LinkKB = at(sp.CountByZone, p.Zone), at(sp.Links, p.Zone)
 	s.MostPulls, s.PaceKB = p.Limits.TryLimit, sp.Pace
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,8 +116,9 @@
 
 // tier is one rank of nodes.
 type tier struct {
-	ready []*node // by id
-	warm  d.Warming
+	ready  []*node // by id
+	warm   d.Warming
+	weight float64 // of the ready nodes, together
 }
 
 // notes are what the module keeps of a download; they go with it.
@@ -224,17 +225,21 @@
 			n.limit.most = max(2, firstLimit/float64(max(1, l.s.Instances)))
 		}
 		n.Node, l.nodes[row.ID] = row, n
+		if n.Weight = max(n.Weight, 1e-3); !l.s.Sized { // a size of none would divide by zero
+			n.Weight = 1 // and one that the settings don't vouch for is not used
+		}
 	}
 	l.edges.ready, l.parents.ready, l.origin = nil, nil, nil
+	l.edges.weight, l.parents.weight = 0, 0
 	for _, id := range slices.Sorted(maps.Keys(l.nodes)) {
 		switch n := l.nodes[id]; {
 		case n.State != d.Ready:
 		case n.Kind == l.s.OriginKind:
 			l.origin = n
 		case n.Kind == l.s.ParentKind:
-			l.parents.ready = append(l.parents.ready, n)
+			l.parents.ready, l.parents.weight = append(l.parents.ready, n), l.parents.weight+n.Weight
 		case n.Zone == l.s.Zone:
-			l.edges.ready = append(l.edges.ready, n)
+			l.edges.ready, l.edges.weight = append(l.edges.ready, n), l.edges.weight+n.Weight
 		}
 	}
 }
@@ -437,25 +442,27 @@
 	nt.pulls, nt.looked = append(nt.pulls, p), now
 }
 
-// pick takes the ready node with the highest hash of object and node. It passes over, for the next one
-// in hash order: nodes in a skip; nodes back from one, but for one pull at a time; and a warming node
-// for the objects that are not yet its own, or beyond its budget.
+// pick takes the ready node that ranks first for the object: the rendezvous hash of object and node, weighted
+// by the node's size where the list tells it, so that each is home to its share; with sizes alike it is the
+// highest hash. It passes over, for the next one in that order: nodes in a skip; nodes back from one, but for
+// one pull at a time; and a warming node for the objects that are not yet its own, or beyond its budget.
 //
 // A warming node takes the share of its objects that it can do, chosen by a hash that all directors
 // share, so they agree without a message. Guards against a cold node pushed over, and spreads the misses
 // of an empty one. Could harm where one object is most of a node's load.
 func (l *Logic) pick(now d.Micros, t *tier, nt *notes, work float64, allowed func(*node) bool) *node {
 	var best *node
-	var bestHash uint64
+	bestRank := math.Inf(1)
 	for _, n := range t.ready {
 		h := mix(nt.hash ^ n.hash)
-		if best != nil && h < bestHash || !allowed(n) || n.skipUntil > now || n.trial && n.trying {
+		rank := -math.Log(float64(h>>11+1)/(1<<53)) / n.Weight // the lower the better; by h where sizes are alike
+		if rank > bestRank || !allowed(n) || n.skipUntil > now || n.trial && n.trying {
 			continue
 		}
 		if w := warmth(now, n, t.warm); w < 1 && (unit(h) > w || !l.fits(now, t, n, work)) {
 			continue
 		}
-		best, bestHash = n, h
+		best, bestRank = n, rank
 	}
 	return best
 }
@@ -473,7 +480,7 @@
 // node is reckoned from the link in, which carries about what the caches of the location miss, or what the
 // parents give it.
 func (l *Logic) fits(now d.Micros, t *tier, n *node, work float64) bool {
-	each := l.part / float64(len(t.ready))
+	each := l.part * n.Weight / t.weight
 	if t == &l.edges {
 		each /= l.missing
 	}
@@ -694,10 +701,10 @@
 func (l *Logic) Able(at d.Micros) (able float64) {
 	for _, n := range l.edges.ready {
 		if n.skipUntil <= at {
-			able += warmth(at, n, l.s.Edge)
+			able += warmth(at, n, l.s.Edge) * n.Weight
 		}
 	}
-	return able * l.Full() / float64(max(1, len(l.edges.ready)))
+	return able * l.Full() / max(l.edges.weight, 1e-3)
 }
 
 // Full is what they can do when warm: the link in carries about what they miss.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -653,3 +653,43 @@
 		t.Errorf("the gate did not open again: %+v", ans)
 	}
 }
+
+// TestSizedHomes: where the settings vouch for the list's sizes, a node is home to its share of the objects; where
+// they don't, or all sizes are alike, every node has an even share, as before.
+func TestSizedHomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		sized   bool
+		weights []float64
+		want    []float64 // shares of the homes
+	}{
+		{"sizes told", true, []float64{1, 1, 2}, []float64{0.25, 0.25, 0.5}},
+		{"sizes alike", true, []float64{4, 4, 4}, []float64{1.0 / 3, 1.0 / 3, 1.0 / 3}},
+		{"sizes not vouched for", false, []float64{1, 1, 2}, []float64{1.0 / 3, 1.0 / 3, 1.0 / 3}},
+		{"a size of none", true, []float64{0, 1, 1}, []float64{0, 0.5, 0.5}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.Sized = c.sized
+			b := newBed(s, 0, 1)
+			var rows []d.Node
+			for i, w := range c.weights {
+				rows = append(rows, d.Node{ID: fmt.Sprint("e", i), Zone: 1, Weight: w})
+			}
+			b.list(rows...)
+			homes := map[string]int{}
+			const n = 3000
+			for i := range n {
+				dl, ans := b.ask(fmt.Sprint(i))
+				homes[ans.Node.ID]++
+				b.end(dl, ms, d.Fulfilled, d.Hit)
+			}
+			for i, want := range c.want {
+				if got := float64(homes[fmt.Sprint("e", i)]) / n; got < want-0.03 || got > want+0.03 {
+					t.Errorf("e%d is home to %.3f, want %.3f", i, got, want)
+				}
+			}
+		})
+	}
+}
