Where answers tell no hit or fill, each answer through a parent clears it and times fills

Cause, from the code: learn() took a fulfilled pull's time only for a hit (edge limits) or a fill (the jam of fills, slow parents, and clearing the source's count of bad ends).

Change: an untold fulfilled answer counts for the edge's limit as a hit does, and, where it came through a source, clears that source and feeds the jam as a fill: it may have been one. The share of misses moves only on told answers. With told notes nothing changes.

Test: TestSilentAnswers fails without it (jam stays 2.00, parents keep 5 bad ends).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -551,13 +551,21 @@
 	case d.Fulfilled:
 		e.good(now, p, out.Filling == d.Hit || out.Filling == d.Stale)
 		part := float64(took) / float64(p.target)
-		step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
+		if out.Filling != d.Untold { // where answers tell nothing the share of misses stays as it was
+			step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
+		}
 		switch out.Filling {
-		case d.Hit:
+		case d.Hit, d.Untold:
 			e.limit.ended(part, slowPart, cut)
-			if dl.SizeKB == 0 && p.light {
+			if dl.SizeKB == 0 && p.light && out.Filling == d.Hit {
 				l.works[dl.Type].learn(float64(took))
 			}
+			if out.Filling == d.Untold && s != e { // it may have been a fill: the source is cleared, the jam learns
+				s.good(now, p, false)
+				if !p.slow {
+					l.filled(now, p, part, p.deep)
+				}
+			}
 		case d.Filled, d.FilledByOrigin:
 			s.good(now, p, true)
 			if !p.slow {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -693,3 +693,35 @@
 		})
 	}
 }
+
+// TestSilentAnswers: where answers tell neither hit nor fill, quick ones open a jammed gate again and clear the
+// parent that they came through; the share of misses is not moved by them.
+func TestSilentAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		took   d.Micros
+		jammed bool
+	}{{"quick", 50 * ms, false}, {"slow", 900 * ms, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(settings(), 2, 2)
+			b.jam, b.gated = 2, b.now
+			b.nodes["p0"].bad, b.nodes["p1"].bad = 5, 5
+			for i := range 60 {
+				b.now += 100 * ms
+				dl, ans := b.ask(fmt.Sprint(i))
+				for ans.Verb == d.Pull && ans.Source == ans.Node { // asked first while jammed
+					ans = b.end(dl, ms, d.Missing, d.Untold)
+				}
+				if ans.Verb == d.Pull {
+					b.end(dl, c.took, d.Fulfilled, d.Untold)
+				}
+			}
+			if jammed := b.jam > jamPart; jammed != c.jammed || b.missing != 0.5 {
+				t.Errorf("jam %.2f, misses %.2f", b.jam, b.missing)
+			}
+			if !c.jammed && (b.nodes["p0"].bad != 0 || b.nodes["p1"].bad != 0) {
+				t.Errorf("parents still marked: %d, %d", b.nodes["p0"].bad, b.nodes["p1"].bad)
+			}
+		})
+	}
+}
