Start check for the shape of a deployment: a mixed configuration is refused by its key

The module now reads two settings that earlier deployments did not set: whether the list's weights are the nodes' sizes (`weights`, Settings.Sized) and whether answers tell hits (`specifics.note-level`, read before too). Defaults keep today's behaviour: `weights` absent is the old shape, every node counts as one, and homes are those of before.

At start, and at SIGHUP, Site.check refuses settings whose two keys are of different shapes, with one line naming the key (`settings: specifics.note-level: "all" is of the old shape, but weights "nominal" of the new one`); unknown words (`live` weights, an odd note level) are refused the same way. Nothing of such a file is used; a reload keeps what was in force.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -118,6 +118,9 @@
 
 // check says what sockets can't do without.
 func (s Site) check() error {
+	if err := s.shape(); err != nil {
+		return err
+	}
 	for i, name := range s.Types {
 		if name == "" {
 			return fmt.Errorf("settings: lanes[%d].name: missing", i)
@@ -144,3 +147,21 @@
 	}
 	return nil
 }
+
+// shape says whether the settings are of one shape, old or new: a configuration that is half moved would hash by
+// sizes while it learns from notes that are not there, or the other way round.
+func (s Site) shape() error {
+	weights, ok := weightsShape[s.Weights]
+	if !ok {
+		return fmt.Errorf("settings: weights: %q is not silent, nominal or rough", s.Weights)
+	}
+	notes, ok := notesShape[s.NoteLevel]
+	if !ok {
+		return fmt.Errorf("settings: specifics.note-level: %q is not all, hit or silent", s.NoteLevel)
+	}
+	if weights != notes {
+		return fmt.Errorf("settings: specifics.note-level: %q is of the %s shape, but weights %q of the %s one",
+			s.NoteLevel, notes, s.Weights, weights)
+	}
+	return nil
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -108,6 +108,12 @@
 		{"keepalive", `"keepalive":30000,`, ``, "settings: limits.keepalive"},
 		{"pulls", `"try-limit":3,`, ``, "settings: limits.try-limit"},
 		{"purges", `"gone-everywhere":6000,`, ``, "settings: specifics.gone-everywhere"},
+		{"weights", `"zone":1,`, `"zone":1,"weights":"live",`, `settings: weights: "live"`},
+		{"note level", `"origin-kind":2,`, `"origin-kind":2,"note-level":"some",`, `settings: specifics.note-level: "some"`},
+		{"new weights, old notes", `"zone":1,`, `"zone":1,"weights":"nominal",`,
+			`settings: specifics.note-level: "" is of the old shape, but weights "nominal" of the new one`},
+		{"old weights, new notes", `"origin-kind":2,`, `"origin-kind":2,"note-level":"silent",`,
+			`settings: specifics.note-level: "silent" is of the new shape, but weights "" of the old one`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -122,3 +128,38 @@
 		}
 	}
 }
+
+// TestShapes: either shape starts, with the list's sizes used in the new one alone; a mix of the two is refused
+// with the key that is out of step, and nothing of it is kept.
+func TestShapes(t *testing.T) {
+	cases := []struct {
+		name, weights, notes string
+		sized                bool
+		want                 string
+	}{
+		{"old, as before", "", "", false, ""},
+		{"old, in words", `"weights":"silent",`, `"note-level":"all",`, false, ""},
+		{"old, hits told", "", `"note-level":"hit",`, false, ""},
+		{"new", `"weights":"nominal",`, `"note-level":"silent",`, true, ""},
+		{"new, rough sizes", `"weights":"rough",`, `"note-level":"silent",`, true, ""},
+		{"sizes with notes", `"weights":"nominal",`, `"note-level":"all",`, false,
+			`settings: specifics.note-level: "all" is of the old shape, but weights "nominal" of the new one`},
+		{"no sizes, no notes", `"weights":"silent",`, `"note-level":"silent",`, false,
+			`settings: specifics.note-level: "silent" is of the new shape, but weights "silent" of the old one`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(good, `"zone":1,`, `"zone":1,`+c.weights, 1)
+			text = strings.Replace(text, `"origin-kind":2,`, `"origin-kind":2,`+c.notes, 1)
+			got, err := load(t, text)
+			switch {
+			case c.want != "" && (err == nil || err.Error() != c.want):
+				t.Errorf("got %v, want %s", err, c.want)
+			case c.want == "" && err != nil:
+				t.Errorf("refused: %v", err)
+			case c.want == "" && got.Site.Sized != c.sized:
+				t.Errorf("sized %v, want %v", got.Site.Sized, c.sized)
+			}
+		})
+	}
+}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -90,6 +90,11 @@
 
 // startWith starts a director with an operator's script, where there is one.
 func startWith(t *testing.T, script string, nodes ...*node) *proxy {
+	return startIn(t, settings, script, nodes...)
+}
+
+// startIn starts a director with the settings given. The list gives every node a weight, its place in it.
+func startIn(t *testing.T, settings, script string, nodes ...*node) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // to find a free port
 	if err != nil {
 		t.Fatal(err)
@@ -105,7 +110,8 @@
 	t.Cleanup(channel.Close)
 	var rows []string
 	for i, n := range nodes {
-		rows = append(rows, fmt.Sprintf(`{"name":"e%d","address":%q,"zone":"a","type":"edge","status":"up"}`, i, n.Addr()))
+		rows = append(rows, fmt.Sprintf(`{"name":"e%d","address":%q,"zone":"a","type":"edge","status":"up","weight":%d}`,
+			i, n.Addr(), i+1))
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"channel":%q,"settings":%s,"limits":{"sockets":64},
 		"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"snapshot":true,"endpoints":[%s]}}]}}`,
@@ -481,3 +487,42 @@
 		}
 	}
 }
+
+// TestShapesAtStart: settings of the new shape start a director that serves from nodes of their sizes, which answer
+// with no note; settings that mix the shapes end the start with the key that is out of step.
+func TestShapesAtStart(t *testing.T) {
+	shaped := func(weights, notes string) string {
+		text := strings.Replace(settings, `"zone":0,`, `"zone":0,"weights":"`+weights+`",`, 1)
+		return strings.Replace(text, `"note-level":"all"`, `"note-level":"`+notes+`"`, 1)
+	}
+	bare := func(nc net.Conn, id string) { fmt.Fprintf(nc, "%s data - 5\r\nhello\r\n", id) }
+	p := startIn(t, shaped("nominal", "silent"), "", newNode(t, bare), newNode(t, bare))
+	c := p.dial(t)
+	for i := range 8 {
+		c.ask("1", fmt.Sprint("o", i), 2*time.Second)
+		if tag, word, _ := c.answer(t); tag != "1" || word != "200" {
+			t.Errorf("new shape: answered %s %s", tag, word)
+		}
+	}
+	c.Close()
+	p.leave(t)
+	for _, x := range []struct{ name, settings, want string }{
+		{"sizes, notes told", shaped("nominal", "all"),
+			`settings: specifics.note-level: "all" is of the old shape, but weights "nominal" of the new one`},
+		{"no sizes, silent notes", shaped("silent", "silent"),
+			`settings: specifics.note-level: "silent" is of the new shape, but weights "silent" of the old one`},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","channel":"127.0.0.1:9","settings":%s,
+				"limits":{"sockets":64},"known":{"cursor":0,"cmds":[]}}`, x.settings)
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			err := run(flags{Config: path}, func(string) string { return "" }, new(slog.LevelVar), nil, nil)
+			if err == nil || !strings.Contains(err.Error(), x.want) {
+				t.Errorf("got %v, want %s", err, x.want)
+			}
+		})
+	}
+}
