--- a/director/director.go
+++ b/director/director.go
@@ -48,19 +48,17 @@
 
 // ContentType is what the settings say of one kind of download.
 type ContentType struct {
-	TargetTime   Micros  // answers within this time earn the full benefit
-	Stretch      float64 // the target time grows by this multiple of the download's sending time
-	Expiry       Micros  // what a client waits in all, over its own retries
-	Repeat       Repeat
-	Scope        Scope  // for deduped downloads
-	Window       Micros // how long a deduped download's mark is remembered
-	Benefit      float64
-	LateBenefit  float64 // share of the benefit for an answer after the target time
-	Fresh        Micros  // a copy's fresh time; 0 for no limit
-	Grace        Micros  // how much older than fresh a copy may be when asked for
-	StaleBenefit float64 // share of the benefit from a copy past its fresh time
-	PassThrough  bool    // never kept: it runs at the origin
-	Whole        bool    // its objects have no parts
+	TargetTime  Micros  // answers within this time earn the full benefit
+	Stretch     float64 // the target time grows by this multiple of the download's sending time
+	Expiry      Micros  // what a client waits in all, over its own retries
+	Repeat      Repeat
+	Scope       Scope  // for deduped downloads
+	Window      Micros // how long a deduped download's mark is remembered
+	Benefit     float64
+	LateBenefit float64 // share of the benefit for an answer after the target time
+	Fresh       Micros  // a copy's fresh time; 0 for no limit
+	PassThrough bool    // never kept: it runs at the origin
+	Whole       bool    // its objects have no parts
 }
 
 // Warming is what a freshly started node bears.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -43,8 +43,6 @@
 		GoesThrough    []bool    `json:"goes-through"`
 		GoneEverywhere float64   `json:"gone-everywhere"`
 		MaxAge         []float64 `json:"max-age"`
-		OlderBy        []float64 `json:"older-by"`
-		OldCopyWorth   []float64 `json:"old-copy-worth"`
 		InPieces       []bool    `json:"in-pieces"`
 		NoteLevel      string    `json:"note-level"`
 		OriginKind     *int      `json:"origin-kind"`
@@ -131,7 +129,7 @@
 			TargetTime: span(lane.Aim), Stretch: lane.Stretch, Expiry: span(lane.HardLimit),
 			Repeat: repeat, Scope: scope, Window: span(lane.DedupWindow),
 			Benefit: lane.Value, LateBenefit: lane.LateWorth,
-			Fresh: span(at(sp.MaxAge, i)), Grace: span(at(sp.OlderBy, i)), StaleBenefit: at(sp.OldCopyWorth, i),
+			Fresh:       span(at(sp.MaxAge, i)),
 			PassThrough: at(sp.GoesThrough, i), Whole: i < len(sp.InPieces) && !sp.InPieces[i],
 		})
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -130,7 +130,6 @@
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
 	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
-	stale  bool     // the home was asked for an old copy
 	ask    storm.Ask
 }
 
@@ -199,7 +198,8 @@
 		Answer: 2 * s.AnswerGrace, Connect: s.ConnectTimeout, Idle: s.KeepAlive / 16, Stall: s.ConnectTimeout / 2,
 		Shared: max(1, s.Streams/100), Most: max(1, s.Streams), Linger: 2 * s.ConnectTimeout,
 		Block: s.PurgeKept / 5, Retry: s.ConnectTimeout / 4, Confirm: s.ConnectTimeout / 4,
-		Late: s.ConnectTimeout / 8, Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6, Back: min(s.MaxComeBack, s.ConnectTimeout),
+		Late: s.ConnectTimeout / 8, Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6,
+		Back: min(s.MaxComeBack, s.ConnectTimeout),
 	}
 	for _, t := range s.Types {
 		m.Flush = max(m.Flush, t.Expiry)
@@ -337,9 +337,7 @@
 		nt.ran = p
 	}
 	if out.Ending == d.Missing && (p.ask || p.held) {
-		if !nt.stale || p.held {
-			nt.stage++
-		}
+		nt.stage++
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
@@ -358,7 +356,7 @@
 		return l.giveUp(now, dl, nt)
 	}
 	p := &pull{sent: now, target: l.target(dl), work: l.work(dl)}
-	load, room, stale := l.works[dl.Type].value, l.room(dl), dl.Type.Grace > 0 && nt.tries > 0
+	load, room := l.works[dl.Type].value, l.room(dl)
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
 	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
 		return n.limit.lets((1+room)/2, unit(mix(nt.hash^n.hash))) && allowed(n)
@@ -380,8 +378,6 @@
 		switch {
 		case nt.stage == askEdge:
 			p.ask = true
-		case full && dl.Type.Grace > 0 && !nt.stale && !p.straight:
-			p.ask, stale, nt.stale = true, true, true
 		case full:
 			p.edge = nil
 		default:
@@ -400,7 +396,7 @@
 		return l.giveUp(now, dl, nt)
 	}
 	ans := d.Answer{
-		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl, stale), Join: l.s.JoinFills,
+		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl), Join: l.s.JoinFills,
 		Held: p.held, Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
 	}
 	switch {
@@ -733,18 +729,11 @@
 }
 
 // oldest is the greatest age of a copy that may answer now; 0 for the content type's fresh time.
-func (l *Logic) oldest(now d.Micros, dl *d.Download, stale bool) d.Micros {
-	most := dl.Type.Fresh
-	if stale {
-		most += dl.Type.Grace
-	}
+func (l *Logic) oldest(now d.Micros, dl *d.Download) d.Micros {
 	at := max(l.purges[purgeKey{dl.Object, -1}], l.purges[purgeKey{"", dl.Group}])
-	if age := max(1, now-at); at > 0 && at+l.s.PurgeKept >= now && (most == 0 || age < most) {
+	if age := max(1, now-at); at > 0 && at+l.s.PurgeKept >= now && (dl.Type.Fresh == 0 || age < dl.Type.Fresh) {
 		return age
 	}
-	if stale {
-		return most
-	}
 	return 0
 }
 
