Config tests: the mixed shapes in one table, not in two

TestFaultsNameTheirKey had gained two cases of mixed shapes (weights nominal with no note level, and silent notes with no weights) beside TestShapes, which tests the same refusal. They move into TestShapes, which checks the whole error, not a part of it; the other rows there are as they were. No code changed.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -110,10 +110,6 @@
 		{"purges", `"gone-everywhere":6000,`, ``, "settings: specifics.gone-everywhere"},
 		{"weights", `"zone":1,`, `"zone":1,"weights":"live",`, `settings: weights: "live"`},
 		{"note level", `"origin-kind":2,`, `"origin-kind":2,"note-level":"some",`, `settings: specifics.note-level: "some"`},
-		{"new weights, old notes", `"zone":1,`, `"zone":1,"weights":"nominal",`,
-			`settings: specifics.note-level: "" is of the old shape, but weights "nominal" of the new one`},
-		{"old weights, new notes", `"origin-kind":2,`, `"origin-kind":2,"note-level":"silent",`,
-			`settings: specifics.note-level: "silent" is of the new shape, but weights "" of the old one`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -146,6 +142,10 @@
 			`settings: specifics.note-level: "all" is of the old shape, but weights "nominal" of the new one`},
 		{"no sizes, no notes", `"weights":"silent",`, `"note-level":"silent",`, false,
 			`settings: specifics.note-level: "silent" is of the new shape, but weights "silent" of the old one`},
+		{"sizes, note level absent", `"weights":"nominal",`, "", false,
+			`settings: specifics.note-level: "" is of the old shape, but weights "nominal" of the new one`},
+		{"weights absent, silent notes", "", `"note-level":"silent",`, false,
+			`settings: specifics.note-level: "silent" is of the new shape, but weights "" of the old one`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
