Fleet changes end: split votes, a lost decision and the lab's clock mended; agents settle

Seen: SIGQUIT showed one goroutine in fleetSim.state under play. A trace of schedule 4 told: now 2668903, next event in 331097 of 21 queued, one agent down until then. fleetSim.run left the clock where the last event was, so a wait of 100 ms with no event in it never came to an end. Ruled out there: the machines of fleet/ were quiet, nothing was resent. At fault: run() and the loop over state() in internal/lab/fleetsim.go. run() now moves the clock; a schedule has a budget of events and of simulated time, and one that uses it up is counted as unended, with seed, number and who waits on whom, exit 1.

With that, cuts of the network in the lab, and agents that settle by themselves, three faults of fleet/ came to light: - A tool in deciding never ended where an even fleet was split in halves and all had answered (10 and 10 of 20, seed 5, schedule 811, limit 5): no majority either way, and the limit of time asked for somebody who had not answered. Lines: Settling, Deciding in Coordinator.move. It ends as beaten now, and asks what became of the change (Finding). - Two decisions for one change (3 agents, seed 1, schedule 381): an agent that was done with a change did not tell of it with its promise, so a majority of it and of one that knew nothing dropped what was decided to go. Line: !e.Settled() in Agent.Handle. Promises tell what was chosen of settled changes too, also of those whose entries made room (State.Past). - A wave that no majority knew of went on to the next after 20 s, for as many waves as there were.

Known took 20 s since nobody but a second tool ended what was open, after a lease of 15 s and the lab's own fixed 20 s. Agents ask after what they doubt and, where the holder is silent for its lease (3 s now), settle in turns (fleet.Settler); they begin no further wave.

--- a/cmd/tallylab/main.go
+++ b/cmd/tallylab/main.go
@@ -31,20 +31,26 @@
 	if err != nil {
 		return err
 	}
-	neither := 0
+	neither, unended := 0, 0
 	if c.JSON {
 		err = json.NewEncoder(os.Stdout).Encode(map[string]any{"runs": runs})
 	} else {
-		fmt.Println("instances  schedules  changed  untouched  neither   p50 ms   p99 ms  messages  known ms  by hand ms")
+		fmt.Println("instances schedules changed untouched partly neither unended | word p50 ms  p99 ms  lived p99 | known p50 ms  p99 ms  " +
+			"after fault | messages  between  by hand ms")
 	}
 	for _, r := range runs {
-		if neither += r.Neither; !c.JSON {
-			fmt.Printf("%9d  %9d  %7d  %9d  %7d %8.0f %8.0f %9.0f %9.0f %11.0f\n", r.Instances, r.Schedules, r.Changed, r.Untouched,
-				r.Neither, r.P50, r.P99, r.Messages, r.AllKnown, r.OneByOne)
+		neither, unended = neither+r.Neither, unended+r.Unended
+		if !c.JSON {
+			fmt.Printf("%9d %9d %7d %9d %6d %7d %7d | %11.0f %7.0f %10.0f | %12.0f %7.0f %12.0f | %8.0f %8.0f %11.0f\n", r.Instances, r.Schedules,
+				r.Changed, r.Untouched, r.Partly, r.Neither, r.Unended, r.P50, r.P99, r.LivedP99, r.KnownP50, r.KnownP99, r.Fault, r.Messages,
+				r.Between, r.OneByOne)
+		}
+		for _, why := range r.Stuck {
+			fmt.Fprintln(os.Stderr, why)
 		}
 	}
-	if neither > 0 && err == nil {
-		return fmt.Errorf("%d changes ended in neither state", neither)
+	if neither+unended > 0 && err == nil {
+		return fmt.Errorf("%d changes ended in neither state, %d did not end", neither, unended)
 	}
 	return err
 }
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -13,6 +13,29 @@
 	Promised Ballot            `json:"promised"`
 	Entries  []*Entry          `json:"entries"`  // in the order they came
 	InForce  map[string]string `json:"in_force"` // by director: the script
+	Past     []Past            `json:"past,omitempty"` // settled changes whose entries made room, the latest last
+}
+
+// Past is what stays of a settled change: an agent that was away for long must still not be told otherwise.
+type Past struct {
+	ID      string  `json:"id"`
+	Outcome Outcome `json:"outcome"`
+	Waves   int     `json:"waves"`
+	Final   bool    `json:"final"`
+}
+
+func (p Past) entry() Entry {
+	return Entry{Change: &Change{ID: p.ID}, Outcome: p.Outcome, Waves: p.Waves, Final: p.Final}
+}
+
+// Clone is a state of its own; changes, which nobody alters, are shared.
+func (s State) Clone() State {
+	c := State{Promised: s.Promised, InForce: maps.Clone(s.InForce), Past: slices.Clone(s.Past)}
+	for _, e := range s.Entries {
+		entry := copyOf(e)
+		c.Entries = append(c.Entries, &entry)
+	}
+	return c
 }
 
 // Agent is one machine's part. Check says whether a director could take a script; it reads no more than its arguments.
@@ -83,17 +106,57 @@
 		r.OK = true
 	}
 	r.Ballot, r.Held, r.Left = a.State.Promised, now-a.since, max(0, a.until-now)
+	r.Entries = a.told(m)
+	return r, do
+}
+
+// told is what a reply tells of changes: of the one that is spoken of how its directors are; to who takes the right to change,
+// all that is open, and what was chosen of all that is not. Without the last, whoever settles with a majority of those that
+// were told nothing and those that are done with it would drop what was decided to go.
+func (a *Agent) told(m Message) (out []Entry) {
+	if m.Verb == Promise {
+		for _, p := range a.State.Past {
+			out = append(out, p.entry())
+		}
+	}
 	for _, e := range a.State.Entries {
-		if m.ID == e.Change.ID || m.Change != nil && m.Change.ID == e.Change.ID || m.Verb == Promise && !e.Settled() {
-			r.Entries = append(r.Entries, copyOf(e))
+		if m.Verb == Promise {
+			if e.Settled() {
+				out = append(out, past(e).entry())
+			} else {
+				out = append(out, copyOf(e))
+			}
+		} else if m.ID == e.Change.ID || m.Change != nil && m.Change.ID == e.Change.ID {
+			c := copyOf(e)
+			c.Change = &Change{ID: e.Change.ID} // who asks has the rest, or has no use for it
+			out = append(out, c)
 		}
 	}
-	return r, do
+	if m.Verb == Ask && len(out) == 0 {
+		if p := a.past(m.ID); p != nil {
+			out = append(out, p.entry())
+		}
+	}
+	return out
+}
+
+func past(e *Entry) Past { return Past{e.Change.ID, e.Outcome, e.Waves, e.Final} }
+
+// past is what is left of a change whose entry made room; nil for nothing.
+func (a *Agent) past(id string) *Past {
+	for i := range a.State.Past {
+		if a.State.Past[i].ID == id {
+			return &a.State.Past[i]
+		}
+	}
+	return nil
 }
 
 func copyOf(e *Entry) Entry {
 	c := *e
-	c.Local = map[string]*Local{}
+	if e.Local != nil {
+		c.Local = map[string]*Local{}
+	}
 	for name, l := range e.Local {
 		local := *l
 		c.Local[name] = &local
@@ -145,6 +208,9 @@
 		}
 		return e.Outcome != Drop && e.Local != nil, "it was dropped"
 	}
+	if a.past(m.Change.ID) != nil {
+		return false, "it is over"
+	}
 	e := &Entry{Change: m.Change, Local: map[string]*Local{}}
 	for _, t := range m.Change.Targets {
 		if t.Agent != a.Name {
@@ -191,7 +257,9 @@
 	a.changed = true
 	a.State.Entries = append(a.State.Entries, e)
 	for i := 0; len(a.State.Entries) > keptEntries && i < len(a.State.Entries); i++ {
-		if a.State.Entries[i].Settled() {
+		if e := a.State.Entries[i]; e.Settled() {
+			a.State.Past = append(a.State.Past, past(e))
+			a.State.Past = a.State.Past[max(0, len(a.State.Past)-keptPast):]
 			a.State.Entries = slices.Delete(a.State.Entries, i, i+1)
 			i--
 		}
@@ -204,6 +272,11 @@
 		return false, why
 	}
 	e := a.Entry(m.Change.ID)
+	if p := a.past(m.Change.ID); p != nil && p.Outcome != m.Outcome || e != nil && e.Outcome != Open && e.Outcome != m.Outcome {
+		return false, "it was chosen otherwise"
+	} else if p != nil {
+		return true, ""
+	}
 	if e == nil { // no part in it, or it was not reached: it can hold the decision all the same
 		e = &Entry{Change: m.Change}
 		a.add(e)
@@ -221,6 +294,9 @@
 		id = m.Change.ID
 	}
 	e := a.Entry(id)
+	if p := a.past(id); e == nil && p != nil {
+		return p.Outcome == m.Outcome, "it is over", nil
+	}
 	if e == nil && m.Change != nil {
 		e = &Entry{Change: m.Change}
 		a.add(e)
@@ -287,10 +363,15 @@
 	a.State.InForce[c.Instance] = c.Script
 }
 
-// Doubts are the changes of which this agent should ask the others what became of them.
+// Doubts are the changes of which this agent should ask the others what became of them: it knows no outcome, or whether one of
+// its directors may go. One that is being put in force is no doubt.
 func (a *Agent) Doubts() (ids []string) {
 	for _, e := range a.State.Entries {
-		if !e.Settled() && len(e.Local) > 0 {
+		doubt := e.Outcome == Open
+		for _, l := range e.Local {
+			doubt = doubt || l.Phase == Waiting
+		}
+		if doubt {
 			ids = append(ids, e.Change.ID)
 		}
 	}
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -18,7 +18,7 @@
 
 // DefaultTimes suit agents a few milliseconds apart.
 func DefaultTimes() Times {
-	return Times{Lease: 15 * d.Second, Resend: d.Second / 2, Give: 5 * d.Second, Wave: 20 * d.Second}
+	return Times{Lease: 3 * d.Second, Resend: d.Second / 2, Give: 5 * d.Second, Wave: 20 * d.Second}
 }
 
 // Send is a message on its way to an agent.
@@ -36,10 +36,11 @@
 	Preparing
 	Deciding
 	Waving
+	Finding // what became of a change that another has taken over
 	Ended
 )
 
-var steps = [...]string{"promising", "settling", "preparing", "deciding", "putting in force", "ended"}
+var steps = [...]string{"promising", "settling", "preparing", "deciding", "putting in force", "finding out", "ended"}
 
 func (s Step) String() string { return steps[s] }
 
@@ -60,6 +61,7 @@
 	Held    d.Micros `json:"held,omitempty"`    // since how long
 	Left    d.Micros `json:"left,omitempty"`    // and for how long yet
 	Stopped string   `json:"stopped,omitempty"` // why no further wave was begun
+	Resume  bool     `json:"resume,omitempty"`  // another decided it meanwhile, and waves are left to whoever may go on
 	Ends    []End    `json:"ends"`
 	Sent    int      `json:"sent"` // messages
 }
@@ -88,19 +90,22 @@
 	wait    map[string]Message // not answered in this step, by agent
 	sent    map[string]d.Micros
 	got     map[string]Reply
+	yes, no int      // of those
 	open    []*Entry // of others, to be settled first
 	current *Change  // being decided or put in force
+	parts   map[string][]Target
 	outcome Outcome
 	wave    int
 	stop    string // why no further wave
-	worse   func() string
+	hold    bool   // no wave is begun that nobody has begun: whether it may is an operator's to say
+	worse   func() (why string, said bool)
 	local   map[string]Local // latest word of each director
 	r       Result
 }
 
 // NewCoordinator makes one for an operator's tool. Agents are all of the fleet. N must be higher than any ballot that this
-// holder used before; worse, where given, says between waves why to stop.
-func NewCoordinator(me string, n int64, agents []string, change *Change, t Times, worse func() string) *Coordinator {
+// holder used before; worse, where given, is asked between waves, until it has said, why to stop.
+func NewCoordinator(me string, n int64, agents []string, change *Change, t Times, worse func() (string, bool)) *Coordinator {
 	c := &Coordinator{
 		me: me, agents: slices.Sorted(slices.Values(agents)), times: t, change: change, ballot: Ballot{n, me},
 		local: map[string]Local{}, worse: worse,
@@ -127,10 +132,14 @@
 
 func (c *Coordinator) majority(n int) bool { return n > len(c.agents)/2 }
 
+// beaten says whether so many have refused that no majority can come any more.
+func (c *Coordinator) beaten() bool { return !c.majority(len(c.agents) - c.no) }
+
 // enter begins a step by saying the same to some agents.
 func (c *Coordinator) enter(now d.Micros, s Step, to []string, m Message) []Send {
 	c.step, c.since = s, now
 	c.wait, c.sent, c.got = map[string]Message{}, map[string]d.Micros{}, map[string]Reply{}
+	c.yes, c.no = 0, 0
 	c.seq++
 	m.Ballot, m.Seq = c.ballot, c.seq
 	for _, a := range to {
@@ -161,7 +170,7 @@
 		return out
 	}
 	out = append(out, c.send(now)...)
-	if c.step > Promising && now-c.renewed >= c.times.Lease/3 {
+	if c.step > Promising && c.step < Finding && now-c.renewed >= c.times.Lease/3 {
 		c.renewed = now
 		for _, a := range c.agents {
 			out = append(out, Send{a, Message{Verb: Renew, Ballot: c.ballot, Lease: c.times.Lease}})
@@ -183,13 +192,25 @@
 	if _, waited := c.wait[from]; !waited {
 		return nil
 	}
-	c.got[from] = r
-	if c.step != Waving || !r.OK || c.reached(from, r) {
+	if old, again := c.got[from]; again {
+		c.yes, c.no = c.yes-one(old.OK), c.no-one(!old.OK)
+	}
+	c.yes, c.no, c.got[from] = c.yes+one(r.OK), c.no+one(!r.OK), r
+	switch {
+	case c.step == Finding && (c.outcome == Open || !c.reached(from)): // it is asked again
+	case c.step != Waving || !r.OK || c.reached(from):
 		delete(c.wait, from)
 	}
 	return c.move(now)
 }
 
+func one(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // note keeps what a reply tells of the directors of the change in hand.
 func (c *Coordinator) note(r Reply) {
 	for _, e := range r.Entries {
@@ -201,28 +222,29 @@
 				c.local[name] = *l
 			}
 		}
+		if c.step == Finding && e.Outcome != Open {
+			c.outcome, c.wave = e.Outcome, max(c.wave, e.Waves)
+		}
 	}
 }
 
 // reached says whether an agent's directors of the waves so far are over with the change.
-func (c *Coordinator) reached(agent string, r Reply) bool {
-	for _, t := range c.current.Targets {
-		if t.Agent == agent && (t.Wave <= c.wave || c.outcome == Drop) {
-			if l, told := c.local[t.Instance]; !l.Over() && (told || c.outcome == Go) {
-				return false
-			}
+func (c *Coordinator) reached(agent string) bool {
+	for _, t := range c.parts[agent] {
+		if c.pending(t) {
+			return false
 		}
 	}
 	return true
 }
 
-func (c *Coordinator) ok() (n int) {
-	for _, r := range c.got {
-		if r.OK {
-			n++
-		}
+// pending says whether something more will come of a director in the waves so far.
+func (c *Coordinator) pending(t Target) bool {
+	if c.outcome == Go && t.Wave > c.wave {
+		return false
 	}
-	return n
+	l, told := c.local[t.Instance]
+	return !l.Over() && (told || c.outcome == Go)
 }
 
 // move goes on as far as what was answered allows.
@@ -232,19 +254,21 @@
 	case Promising:
 		return c.promised(now, late)
 	case Settling, Deciding:
-		switch refused := len(c.got) - c.ok(); {
-		case c.majority(c.ok()):
+		switch {
+		case c.majority(c.yes):
 			return c.chosen(now)
-		case c.majority(refused):
-			return c.end(now, "taken over by another while it was being decided; `status` tells what came of it")
-		case late && len(c.wait) > 0 && now-c.since >= 4*c.times.Give:
+		case c.beaten(): // also where an even fleet is split in halves, and all have answered
+			return c.find(now)
+		case now-c.since >= 4*c.times.Give:
 			return c.end(now, "no majority of the agents answers; `resume` goes on once they do")
 		}
 	case Preparing:
-		for _, a := range slices.Sorted(maps.Keys(c.got)) {
-			if r := c.got[a]; !r.OK {
-				c.r.Refused = a + ": " + r.Why
-				return c.decide(now, Drop)
+		if c.no > 0 {
+			for _, a := range slices.Sorted(maps.Keys(c.got)) {
+				if r := c.got[a]; !r.OK {
+					c.r.Refused = a + ": " + r.Why
+					return c.decide(now, Drop)
+				}
 			}
 		}
 		if len(c.wait) == 0 {
@@ -256,29 +280,54 @@
 		}
 	case Waving:
 		return c.waved(now)
+	case Finding:
+		if len(c.wait) == 0 || now-c.since >= c.times.Wave {
+			return c.found(now)
+		}
 	}
 	return nil
 }
 
+// find asks what became of a change once another holds the right to it: whoever took it over brings it to an end, and the one
+// who began it is told which.
+func (c *Coordinator) find(now d.Micros) []Send {
+	if c.r.ID != "" && c.current.ID != c.r.ID || c.r.ID == "" { // it was another's: of the own one nothing was begun
+		return c.end(now, "taken over by another while an earlier change was being settled")
+	}
+	c.outcome, c.wave = Open, 1
+	return c.enter(now, Finding, c.agents, Message{Verb: Ask, ID: c.current.ID})
+}
+
+func (c *Coordinator) found(now d.Micros) []Send {
+	if c.outcome == Open {
+		return c.end(now, "taken over by another while it was being decided; `status` tells what came of it")
+	}
+	c.r.Outcome, c.r.Ends = c.outcome, c.ends()
+	switch {
+	case c.outcome == Drop && c.r.Refused == "":
+		c.r.Refused = "taken over by another before it was decided"
+	case c.outcome == Go:
+		c.r.Refused, c.r.Resume = "", c.wave < c.current.Waves()
+	}
+	return c.end(now, "")
+}
+
 // promised begins once a majority gave the right to change: with what earlier holders left open.
 func (c *Coordinator) promised(now d.Micros, late bool) []Send {
-	refused := 0
-	var higher Reply
-	for _, a := range slices.Sorted(maps.Keys(c.got)) {
-		if r := c.got[a]; !r.OK {
-			if refused++; higher.Ballot.Less(r.Ballot) || higher.Why == "" {
+	switch {
+	case c.beaten() || late && !c.majority(c.yes):
+		c.r.Refused = "no majority of the agents answers"
+		var higher Reply
+		for _, a := range slices.Sorted(maps.Keys(c.got)) {
+			if r := c.got[a]; !r.OK && (higher.Ballot.Less(r.Ballot) || higher.Why == "") {
 				higher = r
 			}
 		}
-	}
-	switch {
-	case c.majority(refused) || late && !c.majority(c.ok()):
-		c.r.Refused = "no majority of the agents answers"
-		if refused > 0 {
+		if c.no > 0 {
 			c.r.Refused, c.r.Holder, c.r.Held, c.r.Left = higher.Why, higher.Ballot.Holder, higher.Held, higher.Left
 		}
 		return c.end(now, "")
-	case !c.majority(c.ok()) || len(c.wait) > 0 && !late && now-c.since < c.times.Resend:
+	case !c.majority(c.yes) || len(c.wait) > 0 && !late && now-c.since < c.times.Resend:
 		return nil // the others may know of something open; a moment is given to all
 	}
 	c.renewed = now
@@ -297,6 +346,9 @@
 			if old.Outcome == Open {
 				old.Outcome = e.Outcome
 			}
+			if len(old.Change.Targets) == 0 { // told by one that is done with it
+				old.Change = e.Change
+			}
 			if old.Waves, old.Final = max(old.Waves, e.Waves), old.Final || e.Final; e.Vote != nil &&
 				(old.Vote == nil || old.Vote.Ballot.Less(e.Vote.Ballot)) {
 				old.Vote = e.Vote
@@ -304,6 +356,9 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(best)) {
+		if len(best[id].Change.Targets) == 0 && (c.change == nil || id != c.change.ID) {
+			continue // all who know it are done with it
+		}
 		if e := best[id]; c.change == nil || id != c.change.ID {
 			c.open = append(c.open, e)
 		} else if e.Vote != nil || e.Outcome != Open { // it was begun before: the same as resuming
@@ -319,7 +374,7 @@
 	if len(c.open) > 0 {
 		e := c.open[0]
 		c.open = c.open[1:]
-		c.current, c.wave = e.Change, max(1, e.Waves)
+		c.take(e.Change, max(1, e.Waves))
 		for name, l := range e.Local {
 			c.local[name] = *l
 		}
@@ -337,10 +392,19 @@
 	if c.change == nil {
 		return c.end(now, "")
 	}
-	c.current, c.change, c.wave = c.change, nil, 1
+	c.take(c.change, 1)
+	c.change = nil
 	return c.enter(now, Preparing, c.current.Agents(), Message{Verb: Prepare, Change: c.current})
 }
 
+// take makes a change the current one.
+func (c *Coordinator) take(change *Change, wave int) {
+	c.current, c.wave, c.parts = change, wave, map[string][]Target{}
+	for _, t := range change.Targets {
+		c.parts[t.Agent] = append(c.parts[t.Agent], t)
+	}
+}
+
 func (c *Coordinator) decide(now d.Micros, o Outcome) []Send {
 	c.outcome = o
 	return c.enter(now, Deciding, c.agents, Message{Verb: Accept, Change: c.current, Outcome: o})
@@ -365,34 +429,27 @@
 // waved goes on to the next wave once a majority knows of this one and its directors run it; it stops where one would not
 // have it, where one does not answer, or where things look worse.
 func (c *Coordinator) waved(now d.Micros) []Send {
+	known := c.majority(c.yes) // an answer that is no more than late says so too
+	late := now-c.since >= c.times.Wave
+	if !late && !known {
+		return nil
+	}
 	pending, failed := 0, ""
 	for _, t := range c.current.Targets {
-		if c.outcome == Go && t.Wave > c.wave {
-			continue
-		}
-		l, told := c.local[t.Instance]
-		if !l.Over() && (told || c.outcome == Go) {
+		if c.pending(t) {
 			pending++
 		}
-		if l.Phase == Failed {
+		if l := c.local[t.Instance]; l.Phase == Failed && t.Wave <= c.wave {
 			failed = t.Instance + ": " + l.Why
 		}
 	}
-	known := len(c.agents) - len(c.wait)
-	for a := range c.wait {
-		if _, answered := c.got[a]; answered {
-			known++
-		}
-	}
-	late := now-c.since >= c.times.Wave
-	if !late && (pending > 0 || !c.majority(known)) {
+	if !late && pending > 0 && !c.hold { // an agent that settles leaves the right to others meanwhile
 		return nil
 	}
-	last := c.outcome == Drop || c.stop != "" || c.wave >= c.current.Waves()
-	if last && (late || now-c.since >= c.times.Resend || len(c.wait) == 0) {
-		return c.over(now)
-	}
-	if last {
+	if c.outcome == Drop || c.stop != "" || c.hold || c.wave >= c.current.Waves() {
+		if late || now-c.since >= c.times.Resend || len(c.wait) == 0 {
+			return c.over(now)
+		}
 		return nil
 	}
 	switch {
@@ -400,8 +457,16 @@
 		c.stop = failed
 	case pending > 0:
 		c.stop = fmt.Sprintf("wave %d did not come to its end", c.wave)
+	case !known: // else every wave of many could take its whole time, with nobody there
+		c.stop = fmt.Sprintf("no majority of the agents knows of wave %d", c.wave)
 	case c.worse != nil:
-		c.stop = c.worse()
+		why, said := c.worse()
+		if !said && now-c.since < 2*c.times.Wave {
+			return nil // the right to change is renewed meanwhile
+		}
+		if c.stop = why; !said {
+			c.stop = fmt.Sprintf("after wave %d nobody could say how things look", c.wave)
+		}
 	}
 	if c.stop == "" {
 		c.wave++
@@ -442,14 +507,27 @@
 func (c *Coordinator) end(now d.Micros, why string) []Send {
 	if why != "" {
 		c.r.Refused = why
-		for _, t := range c.current.Targets {
-			c.r.Ends = append(c.r.Ends, End{Instance: t.Instance, Agent: t.Agent, State: "not known", Why: why})
+		of, state := c.current, "not known"
+		if c.change != nil { // it was not begun
+			of, state = c.change, "untouched"
+		}
+		for _, t := range of.Targets {
+			c.r.Ends = append(c.r.Ends, End{Instance: t.Instance, Agent: t.Agent, State: state, Why: why})
 		}
 	}
-	out := c.enter(now, Ended, nil, Message{})
+	return append(c.enter(now, Ended, nil, Message{}), c.Leave()...)
+}
+
+// Leave gives the right to change back, at the end or in the middle of it: what is open is then settled by others at once.
+func (c *Coordinator) Leave() (out []Send) {
 	for _, a := range c.agents {
 		out = append(out, Send{a, Message{Verb: Release, Ballot: c.ballot}})
 	}
 	c.r.Sent += len(c.agents)
 	return out
 }
+
+// Waits says whom it waits for, and where.
+func (c *Coordinator) Waits() string {
+	return fmt.Sprintf("%v %s since %v, for %v", c.step, c.r.ID, c.since, slices.Sorted(maps.Keys(c.wait)))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,6 +144,10 @@
 	Ask                 // what is known of a change
 )
 
+var verbs = [...]string{"promise", "renew", "release", "prepare", "accept", "learn", "ask"}
+
+func (v Verb) String() string { return verbs[v] }
+
 // Message is what a coordinator, or an agent that seeks to catch up, says to an agent.
 type Message struct {
 	Verb    Verb     `json:"verb"`
@@ -174,4 +178,7 @@
 	ID, Instance, Script, Before string
 }
 
-const keptEntries = 64 // settled changes that an agent remembers
+const (
+	keptEntries = 64  // settled changes that an agent remembers whole,
+	keptPast    = 512 // and those before of which it remembers what was chosen
+)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -251,8 +251,51 @@
 }
 
 // Run takes a change through, or with none settles what others left open. Step, where given, hears how far it is; worse says
-// between waves why to stop.
+// between waves why to stop. It ends in a bounded time whoever answers (docs/fleet.md), and at once where the context does: the
+// right to change is given back, and the agents settle what is open.
 func (f *Fleet) Run(ctx context.Context, change *fleet.Change, worse func() string, step func(fleet.Step, int)) (fleet.Result, error) {
+	for tries := 0; ; tries++ {
+		r, err := f.run(ctx, change, worse, step)
+		if err != nil || !fleet.Settles(r.Holder) && !r.Resume || tries == settlingTries {
+			return r, err
+		}
+		select { // an agent settles what a tool left: that is no other operator, and soon over
+		case <-ctx.Done():
+			return r, nil
+		case <-time.After(micros(int64(f.times.Resend)) + micros(int64(r.Left))):
+		}
+	}
+}
+
+const (
+	settlingTries = 4
+	sayTimeout    = 5 * time.Second
+	leaveTimeout  = time.Second // for the right to change to be given back
+)
+
+// judge asks something slow once each time that its answer was taken, on the side, and says whether it has answered.
+func judge(worse func() string) func() (string, bool) {
+	if worse == nil {
+		return nil
+	}
+	var asked chan string
+	return func() (string, bool) {
+		if asked == nil {
+			answer := make(chan string, 1)
+			asked = answer
+			go func() { answer <- worse() }()
+		}
+		select {
+		case why := <-asked:
+			asked = nil
+			return why, true
+		default:
+			return "", false
+		}
+	}
+}
+
+func (f *Fleet) run(ctx context.Context, change *fleet.Change, worse func() string, step func(fleet.Step, int)) (fleet.Result, error) {
 	n, err := f.ballot(ctx)
 	if err != nil {
 		return fleet.Result{}, err
@@ -261,12 +304,12 @@
 	for _, a := range f.Inventory.Agents {
 		names = append(names, a.Name)
 	}
-	c := fleet.NewCoordinator(f.Me, n, names, change, f.times, worse)
+	c := fleet.NewCoordinator(f.Me, n, names, change, f.times, judge(worse))
 	type came struct {
 		from string
 		r    fleet.Reply
 	}
-	ctx, leave := context.WithCancel(ctx)
+	work, leave := context.WithCancel(context.WithoutCancel(ctx)) // what is said last must still be heard
 	defer leave()
 	replies := make(chan came, 4*len(names)+16)
 	var calls sync.WaitGroup
@@ -280,12 +323,12 @@
 			}
 			calls.Go(func() {
 				defer func() { <-places }()
-				ctx, leave := context.WithTimeout(ctx, 5*time.Second)
+				call, leave := context.WithTimeout(work, sayTimeout)
 				defer leave()
-				if r, err := f.peers.Say(ctx, s.To, s.Message); err == nil {
+				if r, err := f.peers.Say(call, s.To, s.Message); err == nil {
 					select {
 					case replies <- came{s.To, r}:
-					case <-ctx.Done():
+					case <-call.Done():
 					}
 				}
 			})
@@ -306,16 +349,24 @@
 		case <-tick.C:
 			say(c.Tick(now()))
 		case <-ctx.Done():
-			return c.Result(), fmt.Errorf("left at %v: %w; `resume` goes on", c.Step(), ctx.Err())
+			at := c.Step()
+			say(c.Leave())
+			heard(&calls)
+			return c.Result(), fmt.Errorf("left at %v: %w; the agents settle what was begun, `resume` goes on with further waves", at, ctx.Err())
 		}
 	}
+	heard(&calls)
+	return c.Result(), nil
+}
+
+// heard waits a moment for the last calls: the right to change is given back, where that is heard.
+func heard(calls *sync.WaitGroup) {
 	done := make(chan struct{})
 	go func() { calls.Wait(); close(done) }()
-	select { // the right to change is given back, where that is heard
+	select {
 	case <-done:
-	case <-time.After(time.Second):
+	case <-time.After(leaveTimeout):
 	}
-	return c.Result(), nil
 }
 
 // ballot is a number higher than any that the agents know.
--- a/internal/lab/fleetsim.go
+++ b/internal/lab/fleetsim.go
@@ -2,11 +2,11 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -23,23 +23,34 @@
 	Twice     float64 `default:"0.05" help:"or come twice."`
 	Deaths    float64 `default:"0.02" help:"Share of agents that die during a change, and come back."`
 	ToolDies  float64 `default:"0.3" help:"Share of changes whose tool dies, to be resumed by another."`
+	Cuts      float64 `default:"0.1" help:"Share of changes during which a part of the agents, or the tool, is cut off for a while."`
 	Limit     int     `default:"0" help:"So many directors at a time; 0: all at once."`
 	Seed      uint64  `default:"1" help:"Of all chance."`
+	Only      int     `default:"-1" help:"Play the schedule of this number alone, and show its messages."`
+	Steps     int     `default:"0" help:"After so many events a schedule counts as one without an end; 0: 2,000 an agent, 20,000 at least."`
 	JSON      bool    `name:"json" help:"Print one JSON object."`
 }
 
 // FleetRun is what came of one size.
 type FleetRun struct {
-	Instances int     `json:"instances"`
-	Schedules int     `json:"schedules"`
-	Changed   int     `json:"changed"`    // ended with all directors changed,
-	Untouched int     `json:"untouched"`  // or none,
-	Neither   int     `json:"neither"`    // or a director that is neither, or not told truly
-	P50       float64 `json:"p50_ms"`     // simulated, from the start to the tool's word,
-	P99       float64 `json:"p99_ms"`     //
-	Messages  float64 `json:"messages"`   // sent by tools, on average
-	AllKnown  float64 `json:"known_ms"`   // from the last fault's end until every director is in its last state, at the 99th percentile
-	OneByOne  float64 `json:"by_hand_ms"` // the same directors one after another, with no fault
+	Instances int      `json:"instances"`
+	Schedules int      `json:"schedules"`
+	Changed   int      `json:"changed"`         // ended with all directors changed,
+	Untouched int      `json:"untouched"`       // or none,
+	Partly    int      `json:"partly"`          // or, told as such, as far as the waves had come;
+	Neither   int      `json:"neither"`         // or a director that is neither, or not told truly;
+	Unended   int      `json:"unended"`         // or it did not end
+	P50       float64  `json:"p50_ms"`          // simulated, from the start to a tool's word, the first tool's or its follower's
+	P99       float64  `json:"p99_ms"`          //
+	LivedP99  float64  `json:"lived_p99_ms"`    // the same where no tool died
+	Messages  float64  `json:"messages"`        // sent by tools, on average,
+	Between   float64  `json:"between"`         // and by agents among themselves
+	KnownP50  float64  `json:"known_p50_ms"`    // from the start until every agent knows the outcome
+	KnownP99  float64  `json:"known_p99_ms"`    //
+	Fault     float64  `json:"settled_ms"`      // from the last fault's end until every director is in its last state, p99
+	Events    int      `json:"events"`          // of the longest schedule
+	OneByOne  float64  `json:"by_hand_ms"`      // the same directors one after another, with no fault
+	Stuck     []string `json:"stuck,omitempty"` // what did not end or is in neither state: the schedule and who waits on whom
 }
 
 type simEvent struct {
@@ -65,21 +76,29 @@
 
 type simAgent struct {
 	*fleet.Agent
-	stored []byte
-	runs   string
-	life   int // counts its starts
-	up     bool
+	settler *fleet.Settler
+	stored  fleet.State
+	runs    string
+	life    int // counts its starts
+	up      bool
+	cut     bool // reaches only others that are cut off too
 }
 
 type fleetSim struct {
-	s      *FleetSim
-	r      *rand.Rand
-	now    d.Micros
-	order  int
-	queue  simQueue
-	agents map[string]*simAgent
-	names  []string
-	sent   int
+	s       *FleetSim
+	r       *rand.Rand
+	now     d.Micros
+	order   int
+	queue   simQueue
+	agents  map[string]*simAgent
+	names   []string
+	sent    int // by tools
+	between int // by agents
+	events  int
+	budget  int
+	toolCut bool
+	c       *fleet.Coordinator
+	trace   func(string, ...any)
 }
 
 func (f *fleetSim) after(wait d.Micros, do func()) {
@@ -87,15 +106,25 @@
 	heap.Push(&f.queue, &simEvent{f.now + wait, f.order, do})
 }
 
-// run works until a time, or until nothing is left.
+// run works until a time or until done. Time goes there also where nothing happens: what waits for a time must see it come. It
+// gives up once the schedule has used its events.
 func (f *fleetSim) run(until d.Micros, done func() bool) {
-	for len(f.queue) > 0 && f.queue[0].at <= until && !done() {
+	for len(f.queue) > 0 && f.queue[0].at <= until && f.events < f.budget {
+		if done() {
+			return
+		}
 		e := heap.Pop(&f.queue).(*simEvent)
 		f.now = e.at
+		f.events++
 		e.do()
 	}
+	if f.events < f.budget && !done() {
+		f.now = max(f.now, until)
+	}
 }
 
+func never() bool { return false }
+
 // wire delivers something after a while: once, twice or never.
 func (f *fleetSim) wire(deliver func()) {
 	times := 1
@@ -110,54 +139,72 @@
 	}
 }
 
-const simInstance = "n-"
+const (
+	simInstance = "n-"
+	simTick     = 50 * d.Second / 1000
+	simEnd      = 600 * d.Second // of simulated time: a schedule has long ended
+	shownStuck  = 20
+)
 
 func simSum(script string) string { return "sum " + script }
 
 func (f *fleetSim) boot(name string) {
 	a := f.agents[name]
-	var s fleet.State
-	if err := json.Unmarshal(a.stored, &s); err != nil {
-		panic(err)
-	}
-	a.Agent = fleet.NewAgent(f.now, name, s, 15*d.Second, func(string, string) error { return nil }, simSum)
+	a.Agent = fleet.NewAgent(f.now, name, a.stored.Clone(), fleet.DefaultTimes().Lease, func(string, string) error { return nil }, simSum)
+	a.settler = fleet.NewSettler(f.now, a.Agent, f.names, fleet.DefaultTimes())
 	a.up = true
 	a.life++
 	f.carry(a, a.Unfinished())
 	f.keep(a)
-	f.doubt(a, a.life)
+	f.tickAgent(a, a.life)
 }
 
 func (f *fleetSim) keep(a *simAgent) {
 	if a.Changed() {
-		a.stored, _ = json.Marshal(a.State)
+		a.stored = a.State.Clone()
 	}
 }
 
-// doubt has an agent ask the others, every second, what became of what it holds open.
-func (f *fleetSim) doubt(a *simAgent, life int) {
-	f.after(d.Second, func() {
-		if !a.up || a.life != life {
-			return
+// tickAgent has an agent's settler work while this life of it lasts.
+func (f *fleetSim) tickAgent(a *simAgent, life int) {
+	f.after(2*simTick, func() {
+		if a.up && a.life == life {
+			f.agentSays(a, life, func() ([]fleet.Send, []fleet.Command) { return a.settler.Tick(f.now) })
+			f.tickAgent(a, life)
 		}
-		for _, id := range a.Doubts() {
-			other := f.agents[f.names[f.r.IntN(len(f.names))]]
+	})
+}
+
+// agentSays has an agent do something; what it says is sent to the others once it is stored.
+func (f *fleetSim) agentSays(a *simAgent, life int, act func() ([]fleet.Send, []fleet.Command)) {
+	sends, do := act()
+	f.keep(a)
+	f.carry(a, do)
+	for _, s := range sends {
+		f.between++
+		other := f.agents[s.To]
+		f.wire(func() {
+			if !other.up || other.cut != a.cut {
+				return
+			}
+			r := f.handle(a.Name, other, s.Message)
 			f.wire(func() {
-				if !other.up || other == a {
-					return
+				if a.up && a.life == life && other.cut == a.cut {
+					f.agentSays(a, life, func() ([]fleet.Send, []fleet.Command) { return a.settler.Got(f.now, other.Name, r) })
 				}
-				r, _ := other.Handle(f.now, fleet.Message{Verb: fleet.Ask, ID: id})
-				f.wire(func() {
-					if a.up && a.life == life {
-						do := a.Heard(r)
-						f.keep(a)
-						f.carry(a, do)
-					}
-				})
 			})
-		}
-		f.doubt(a, life)
-	})
+		})
+	}
+}
+
+func (f *fleetSim) handle(from string, a *simAgent, m fleet.Message) fleet.Reply {
+	r, do := a.Handle(f.now, m)
+	f.keep(a)
+	f.carry(a, do)
+	if f.trace != nil {
+		f.trace("%8.3f s  %s to %s: %v %v waves %d -> %v %s", float64(f.now)/1e6, from, a.Name, m.Verb, m.Outcome, m.Waves, r.OK, r.Why)
+	}
+	return r
 }
 
 func (f *fleetSim) carry(a *simAgent, do []fleet.Command) {
@@ -174,8 +221,13 @@
 }
 
 // tool runs a coordinator until it ends, or dies after a while; 0 for never.
-func (f *fleetSim) tool(n int64, change *fleet.Change, dies d.Micros) *fleet.Coordinator {
+func (f *fleetSim) tool(change *fleet.Change, dies d.Micros) *fleet.Coordinator {
+	n := int64(1) // higher than any that the agents know
+	for _, name := range f.names {
+		n = max(n, f.agents[name].State.Promised.N+1)
+	}
 	c := fleet.NewCoordinator(fmt.Sprint("op/", n), n, f.names, change, fleet.DefaultTimes(), nil)
+	f.c = c
 	begun := f.now
 	alive := func() bool { return (dies == 0 || f.now < begun+dies) && c.Step() != fleet.Ended }
 	var say func([]fleet.Send)
@@ -184,14 +236,12 @@
 			f.sent++
 			f.wire(func() {
 				a := f.agents[s.To]
-				if !a.up {
+				if !a.up || f.toolCut != a.cut {
 					return
 				}
-				r, do := a.Handle(f.now, s.Message)
-				f.keep(a)
-				f.carry(a, do)
+				r := f.handle(fmt.Sprint("tool ", n), a, s.Message)
 				f.wire(func() {
-					if alive() {
+					if alive() && f.toolCut == a.cut {
 						say(c.Got(f.now, s.To, r))
 					}
 				})
@@ -202,70 +252,189 @@
 	tick = func() {
 		if alive() {
 			say(c.Tick(f.now))
-			f.after(50_000, tick)
+			f.after(simTick, tick)
 		}
 	}
 	say(c.Start(f.now))
-	f.after(50_000, tick)
-	f.run(f.now+300*d.Second, func() bool { return !alive() })
+	f.after(simTick, tick)
+	f.run(simEnd, func() bool { return !alive() })
 	return c
 }
 
+// faults lays out what fails during the change, and gives when the last of it is over.
+func (f *fleetSim) faults() (last d.Micros) {
+	last = f.now
+	for _, name := range f.names {
+		if f.r.Float64() < f.s.Deaths {
+			a, at, down := f.agents[name], d.Micros(f.r.IntN(2_000_000)), d.Micros(100_000+f.r.IntN(3_000_000))
+			last = max(last, f.now+at+down)
+			f.after(at, func() { a.up = false })
+			f.after(at+down, func() { f.boot(name) })
+		}
+	}
+	if f.r.Float64() < f.s.Cuts {
+		share, at, long := f.r.Float64(), d.Micros(f.r.IntN(1_500_000)), d.Micros(500_000+f.r.IntN(8_000_000))
+		last = max(last, f.now+at+long)
+		f.after(at, func() {
+			f.toolCut = f.r.Float64() < 0.3
+			for _, name := range f.names {
+				f.agents[name].cut = f.r.Float64() < share
+			}
+		})
+		f.after(at+long, func() {
+			f.toolCut = false
+			for _, name := range f.names {
+				f.agents[name].cut = false
+			}
+		})
+	}
+	return last
+}
+
+type simResult struct {
+	state                string
+	word, known, settled d.Micros
+	sent, between        int
+	events               int
+	lived, ended         bool
+	why                  string
+}
+
 // play plays one change and says what it came to.
-func (s *FleetSim) play(n int, seed uint64) (state string, took, settled d.Micros, sent int) {
-	f := &fleetSim{s: s, r: rand.New(rand.NewPCG(s.Seed, seed)), now: d.Second, agents: map[string]*simAgent{}}
+func (s *FleetSim) play(n int, number uint64) (e simResult) {
+	f := &fleetSim{s: s, r: rand.New(rand.NewPCG(s.Seed, uint64(n)<<32|number)), now: d.Second, agents: map[string]*simAgent{}}
+	if f.budget = s.Steps; f.budget == 0 {
+		f.budget = max(20_000, 2_000*n)
+	}
+	if s.Only >= 0 {
+		f.trace = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+	}
 	var places []fleet.Place
 	for i := range n {
 		name := fmt.Sprintf("a%04d", i)
-		a := &simAgent{runs: "old"}
-		a.stored, _ = json.Marshal(fleet.State{InForce: map[string]string{simInstance + name: "old"}})
-		f.agents[name], f.names = a, append(f.names, name)
+		f.agents[name] = &simAgent{runs: "old", stored: fleet.State{InForce: map[string]string{simInstance + name: "old"}}}
+		f.names = append(f.names, name)
 		places = append(places, fleet.Place{Instance: simInstance + name, Agent: name, Depot: fmt.Sprint(i / 10), Script: "old"})
 	}
 	for _, name := range f.names {
 		f.boot(name)
 	}
 	change := fleet.Plan("c1", "op", "", places, s.Limit, simSum, func(fleet.Place) string { return "new" })
-	last := f.now
-	for _, name := range f.names {
-		if f.r.Float64() < s.Deaths {
-			a, at, down := f.agents[name], d.Micros(f.r.IntN(2_000_000)), d.Micros(100_000+f.r.IntN(3_000_000))
-			last = max(last, f.now+at+down)
-			f.after(at, func() { a.up = false })
-			f.after(at+down, func() { f.boot(name) })
-		}
-	}
-	begun := f.now
+	begun, last := f.now, f.faults()
 	dies := d.Micros(0)
 	if f.r.Float64() < s.ToolDies {
 		dies = d.Micros(1 + f.r.IntN(1_500_000))
 	}
-	c := f.tool(1, change, dies)
-	took = f.now - begun
-	if c.Step() != fleet.Ended { // another tool goes on, once the lease is over
+	// who knows is watched beside what goes on
+	var watch func()
+	watch = func() {
+		if e.known == 0 && f.known() {
+			e.known = f.now - begun
+		}
+		if e.known == 0 {
+			f.after(simTick, watch)
+		}
+	}
+	f.after(simTick, watch)
+
+	c := f.tool(change, dies)
+	r := c.Result()
+	e.lived = c.Step() == fleet.Ended
+	if !e.lived {
 		last = max(last, f.now)
-		f.run(f.now+20*d.Second, func() bool { return false })
-		f.tool(2, nil, 0)
 	}
-	sent = f.sent
+	// another operator's tool goes on a moment later, and comes back for as long as the right to change is held
+	again := !e.lived || r.Resume
+	for again && f.now < simEnd && f.events < f.budget {
+		f.run(f.now+d.Second, never)
+		if e.lived { // it goes on with its own
+			c = f.tool(change, 0)
+		} else {
+			c = f.tool(nil, 0)
+		}
+		r = c.Result()
+		again = c.Step() != fleet.Ended || r.Refused != "" || r.Resume
+	}
+	e.word = f.now - begun
+	e.ended = c.Step() == fleet.Ended
 	// what a director runs, what its agent says, and what was decided must agree; it may take until all are back
 	for end := f.now + 120*d.Second; ; {
-		state = f.state()
-		if state != "neither" || f.now >= end {
-			settled = max(0, f.now-last)
-			return state, took, settled, sent
+		e.state = f.state()
+		if e.state != "neither" && f.now >= last && e.known > 0 || f.now >= end || f.events >= f.budget {
+			break
+		}
+		f.run(f.now+2*simTick, never)
+	}
+	if !told(r, e.state) {
+		e.state = "neither"
+	}
+	e.settled, e.sent, e.between, e.events = max(0, f.now-last), f.sent, f.between, f.events
+	e.ended = e.ended && f.events < f.budget && e.known > 0
+	if !e.ended || e.state == "neither" {
+		e.why = fmt.Sprintf("--instances %d --seed %d --only %d: %s", n, s.Seed, number, f.waits())
+	}
+	return e
+}
+
+// told says whether a tool's word was true of how directors were in the end.
+func told(r fleet.Result, state string) bool {
+	for _, end := range r.Ends {
+		switch {
+		case end.State == "changed" && state == "untouched", end.State == "untouched" && state == "changed",
+			end.State == "will be changed" && state == "untouched":
+			return false
+		}
+	}
+	return true
+}
+
+// known says whether every agent knows the outcome: nobody holds anything open.
+func (f *fleetSim) known() bool {
+	for _, name := range f.names {
+		a := f.agents[name]
+		if !a.up {
+			return false
+		}
+		if e := a.Entry("c1"); e != nil && e.Outcome == fleet.Open {
+			return false
+		}
+	}
+	return f.c.Step() == fleet.Ended || f.agents[f.names[0]].Entry("c1") != nil
+}
+
+// waits says who waits on whom.
+func (f *fleetSim) waits() string {
+	out := []string{fmt.Sprintf("after %.1f s and %d events: tool %v", float64(f.now)/1e6, f.events, f.c.Waits())}
+	for _, name := range f.names {
+		a := f.agents[name]
+		e := a.Entry("c1")
+		switch {
+		case !a.up:
+			out = append(out, name+" is down")
+		case e != nil && !e.Settled():
+			out = append(out, fmt.Sprintf("%s, director at %q", a.settler.Waits(f.now), a.runs))
+		}
+		if len(out) > shownStuck/2 {
+			return strings.Join(append(out, "..."), "; ")
 		}
-		f.run(f.now+100_000, func() bool { return false })
 	}
+	return strings.Join(out, "; ")
 }
 
-// state is "changed", "untouched" or, while directors differ or an agent says otherwise, "neither".
+// state is "changed", "untouched", "partly" where the waves were stopped, or, while directors differ otherwise or an agent says
+// something else than its director, "neither".
 func (f *fleetSim) state() string {
-	counts := map[string]int{}
+	counts, final, chosen := map[string]int{}, true, fleet.Open
 	for _, name := range f.names {
 		a := f.agents[name]
 		says := "old"
 		if e := a.Entry("c1"); e != nil {
+			if chosen == fleet.Open {
+				chosen = e.Outcome
+			} else if e.Outcome != fleet.Open && e.Outcome != chosen {
+				return "neither"
+			}
+			final = final && e.Final
 			for _, l := range e.Local {
 				if l.Phase == fleet.InForce {
 					says = "new"
@@ -279,58 +448,86 @@
 		}
 		counts[a.runs]++
 	}
-	switch len(f.names) {
-	case counts["new"]:
+	switch {
+	case len(f.names) == counts["new"]:
 		return "changed"
-	case counts["old"]:
+	case len(f.names) == counts["old"]:
 		return "untouched"
+	case final && f.s.Limit > 0:
+		return "partly"
 	}
 	return "neither"
 }
 
 // Play plays all sizes.
 func (s *FleetSim) Play() (runs []FleetRun, err error) {
+	for _, share := range []float64{s.Loss, s.Twice, s.Deaths, s.ToolDies, s.Cuts} {
+		if share < 0 || share > 1 || s.Loss >= 1 {
+			return runs, fmt.Errorf("--loss, --twice, --deaths, --tool-dies, --cuts: %v is no share; --loss must be below 1", share)
+		}
+	}
 	for _, n := range s.Instances {
-		if n < 1 || s.Schedules < 1 {
-			return runs, fmt.Errorf("--instances, --schedules: %d and %d, both must be above 0", n, s.Schedules)
+		if n < 1 || s.Schedules < 1 || s.Steps < 0 || s.Limit < 0 {
+			return runs, fmt.Errorf("--instances %d, --schedules %d, --steps %d, --limit %d: the first two must be above 0, no other below",
+				n, s.Schedules, s.Steps, s.Limit)
 		}
-		r := FleetRun{Instances: n, Schedules: s.Schedules}
-		type end struct {
-			state         string
-			took, settled d.Micros
-			sent          int
+		ends, first := make([]simResult, s.Schedules), 0
+		if s.Only >= 0 {
+			ends, first = ends[:1], s.Only
 		}
-		ends, next := make([]end, s.Schedules), atomic.Int64{}
+		next := atomic.Int64{}
 		var all sync.WaitGroup
 		for range runtime.GOMAXPROCS(0) { // each schedule has its own chance, so their order does not matter
 			all.Go(func() {
-				for i := next.Add(1) - 1; i < int64(s.Schedules); i = next.Add(1) - 1 {
-					e := &ends[i]
-					e.state, e.took, e.settled, e.sent = s.play(n, uint64(n)<<32|uint64(i))
+				for i := next.Add(1) - 1; i < int64(len(ends)); i = next.Add(1) - 1 {
+					ends[i] = s.play(n, uint64(first)+uint64(i))
 				}
 			})
 		}
 		all.Wait()
-		var took, settled []float64
-		for _, e := range ends {
-			t, k, sent := e.took, e.settled, e.sent
-			switch e.state {
-			case "changed":
-				r.Changed++
-			case "untouched":
-				r.Untouched++
-			default:
-				r.Neither++
-			}
-			took, settled = append(took, float64(t)/1000), append(settled, float64(k)/1000)
-			r.Messages += float64(sent) / float64(s.Schedules)
-		}
-		slices.Sort(took)
-		slices.Sort(settled)
-		r.P50, r.P99 = took[len(took)/2], took[len(took)*99/100]
-		r.AllKnown = settled[len(settled)*99/100]
-		r.OneByOne = float64(n) * (110 + 2*11) // each is written, read and read back, with the wire between
-		runs = append(runs, r)
+		runs = append(runs, sumUp(n, ends))
 	}
 	return runs, nil
 }
+
+func sumUp(n int, ends []simResult) FleetRun {
+	r := FleetRun{Instances: n, Schedules: len(ends)}
+	var word, lived, known, settled []float64
+	for _, e := range ends {
+		switch {
+		case !e.ended:
+			r.Unended++
+		case e.state == "changed":
+			r.Changed++
+		case e.state == "untouched":
+			r.Untouched++
+		case e.state == "partly":
+			r.Partly++
+		default:
+			r.Neither++
+		}
+		if e.why != "" && len(r.Stuck) < shownStuck {
+			r.Stuck = append(r.Stuck, e.why)
+		}
+		word, settled = append(word, float64(e.word)/1000), append(settled, float64(e.settled)/1000)
+		if known = append(known, float64(e.known)/1000); e.lived {
+			lived = append(lived, float64(e.word)/1000)
+		}
+		r.Messages += float64(e.sent) / float64(len(ends))
+		r.Between += float64(e.between) / float64(len(ends))
+		r.Events = max(r.Events, e.events)
+	}
+	r.P50, r.P99, r.LivedP99 = quantile(word, 0.5), quantile(word, 0.99), quantile(lived, 0.99)
+	r.KnownP50, r.KnownP99, r.Fault = quantile(known, 0.5), quantile(known, 0.99), quantile(settled, 0.99)
+	r.OneByOne = float64(n) * (110 + 2*11) // each is written, read and read back, with the wire between
+	return r
+}
+
+// quantile is the value that so many are not above; 0 of none.
+func quantile(all []float64, p float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(p*float64(len(all))))]
+}
