Three failed fills in a row skip a parent also where answers tell nothing

Ruled out: limits that add up (at most 12 directors a location, not 80 to 100 as docs/assumptions.md said; two pulls each on 58 places), homes by weight (all 88 caches hold 5, turned away evenly on all of them). At fault: strike() waited for nine in a row where answers don't tell whose fault it was, and a director sees a fill through one parent every four seconds.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -646,7 +646,7 @@
 // trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
 // up what parents hold while the origin fails. Could harm while all parents are dead but still listed.
 func (n *node) strike(l *Logic, now d.Micros, p *pull) {
-	if bad := n.sign(p); bad < strikes || bad < strikes*strikes && !l.s.SourcesTold {
+	if n.sign(p) < strikes {
 		return
 	}
 	usable := func(o *node) bool { return o != n && o.skipUntil <= now }
