Where answers tell nothing no source is taken for silent

Cause: look() holds half a target time without a word through a source against it, three times in a row.

A source that is silent still strikes by its timed out pulls.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -503,7 +503,7 @@
 			l.filled(now, p, lateFill, p.deep)
 		}
 	}
-	if n.heard >= p.sent || n == l.origin {
+	if n.heard >= p.sent || n == l.origin || n != p.edge && !l.s.SourcesTold {
 		return d.Answer{}
 	}
 	if n.unheard++; n.unheard < strikes {
