--- a/director/director.go
+++ b/director/director.go
@@ -74,6 +74,7 @@
 	Seed        uint64
 	Zone        int
 	Instances   int     // routers in this zone
+	Directors   int     // and in all
 	LinkKB      float64 // what the zone's link for fills carries, KB a second; 0 where not told
 	Types       []*ContentType
 	ParentKind  int // the machine kind of parents; -1 where there are none
@@ -220,5 +221,7 @@
 	Pull    int
 	Ending  Ending
 	Filling Filling
-	Last    bool // the download is finished
+	Last    bool    // the download is finished
+	Linked  bool    // the node told how full its link was, lately:
+	Link    float64 // transfers on it over those that fit at full pace
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -103,6 +103,9 @@
 	s.Weights, s.NoteLevel, s.Sized = p.Weights, sp.NoteLevel, weightsShape[p.Weights] == "new"
 	s.CanCancel, s.TwoAtOnce = p.Limits.Cancel, p.Limits.SecondCopies
 	s.Instances, s.LinkKB = at(sp.CountByZone, p.Zone), at(sp.Links, p.Zone)
+	for _, n := range sp.CountByZone {
+		s.Directors += n
+	}
 	s.MostPulls, s.PaceKB = p.Limits.TryLimit, sp.Pace
 	s.Edge = director.Warming{From: c.ColdFrom, Time: span(c.Cold), Multiple: c.Multiple, Window: span(c.Window)}
 	s.Parent = director.Warming{
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -371,7 +371,8 @@
 		} else if warmth(now, p.edge, l.s.Edge) < 1 {
 			nt.stage = max(nt.stage, fillHeld)
 		}
-		full := !l.gate.lets(room, 0) || nt.stage == fillAll && !l.deep.lets(1, unit(nt.hash))
+		// below one fill, the origin is asked for a part of the objects, the less the more work they cost
+		full := !l.gate.lets(room, 0) || nt.stage == fillAll && !l.deep.lets(1, unit(nt.hash)/(room*room))
 		if full && nt.stage != askEdge && l.gated > 0 {
 			l.gated = now
 		}
