--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,7 @@
 	lateFill      = 2             // what a fill counts for, in target times, that was late or refused
 	growBy        = 0.25          // what a limit gains by a pull that took no time
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
-	jamPart       = 0.9           // a parent whose fills take more of their target times on average is slow
+	jamPart       = 0.7           // a parent whose fills take more of their target times on average is slow
 	slowMemory    = 16            // fills over which that looks back, about
 )
 
