Limits of fills gain twice as much by a fill where answers tell nothing of a refusal's cause

Cause: where nothing is told, every refusal cuts the limits of fills, a dead parent's too, and a director of a large fleet that sees a fill every few seconds takes half a minute to gain them back. Gate and origin's limit gain 2 x growBy there. The mark of a slow parent is 0.9 again, apart from the jam's: with 0.7 eight refusals of a full edge skipped its parent (a test of old).

Tests: TestCostlyObjectsWait, TestGainsWhereNothingIsTold, TestSilentSource (both).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,8 @@
 	lateFill      = 2             // what a fill counts for, in target times, that was late or refused
 	growBy        = 0.25          // what a limit gains by a pull that took no time
 	holdPart      = 0.4           // a held download should need no more than this of what time it has left
-	jamPart       = 0.7           // a parent whose fills take more of their target times on average is slow
+	jamPart       = 0.7           // fills that take more of their target times on average are jammed
+	slowParent    = 0.9           // and a parent whose fills take so much is slow
 	slowMemory    = 16            // fills over which that looks back, about
 )
 
@@ -88,11 +89,11 @@
 
 // ended takes a pull that took a part of its target time: one that took over slow of it costs the part cut of
 // the limit, but never more than one pull.
-func (m *limit) ended(part, slow, cut float64) {
+func (m *limit) ended(part, slow, cut, grow float64) {
 	if part > slow {
 		m.most = max(leastLimit, m.least, m.most-min(1, m.most*cut))
 	} else if float64(m.out+1) > m.most*(1-cut) {
-		m.most += growBy * (1 - part/slow)
+		m.most += grow * (1 - part/slow)
 	}
 }
 
@@ -149,6 +150,7 @@
 	jamSeen float64               // over how many fills, about: fewer where several directors see a part each
 	gate    limit                 // for fills, while they are jammed
 	deep    limit                 // for those of them that may reach the origin
+	grow    float64               // what these two gain by a fill that took no time
 	gated   d.Micros              // when a fill was last late, or held back by the gate; 0 while it is open
 	trouble float64               // share of pulls turned away or late
 	storm   *storm.Guard
@@ -180,6 +182,9 @@
 	l.gate.most = max(1, l.part+2*math.Sqrt(l.part)) // its part of the link, with room for chance
 	l.deep.most = max(1, l.part)
 	l.deep.least = math.Floor(l.part / 4)
+	if l.grow = growBy; !s.SourcesTold { // what had other causes cuts them too, a dead parent's refusals for one
+		l.grow *= 2
+	}
 	for _, t := range s.Types {
 		l.works[t] = &mean{value: float64(t.TargetTime) / (1 + t.Stretch)}
 	}
@@ -553,7 +558,7 @@
 		}
 		switch out.Filling {
 		case d.Hit, d.Untold:
-			e.limit.ended(part, slowPart, cut)
+			e.limit.ended(part, slowPart, cut, growBy)
 			if dl.SizeKB == 0 && p.light && out.Filling == d.Hit {
 				l.works[dl.Type].learn(float64(took))
 			}
@@ -628,17 +633,17 @@
 		l.gated = now
 	}
 	if deep {
-		l.deep.ended(part, 1, deepCut)
+		l.deep.ended(part, 1, deepCut, l.grow)
 	}
 	if p.fill && (part <= 1 || !deep && now > p.sent+p.target) { // a refusal says nothing of the link
-		l.gate.ended(part, 1, cut)
+		l.gate.ended(part, 1, cut, l.grow)
 	}
 	s := p.source
 	s.slow += (part - s.slow) / slowMemory
 	faster := func(n *node) bool { return n.slow < s.slow/2 && n.skipUntil <= now && !n.trial }
-	if s.slow > jamPart && slices.ContainsFunc(l.parents.ready, faster) {
+	if s.slow > slowParent && slices.ContainsFunc(l.parents.ready, faster) {
 		l.skip(now, s, p, skipParent)
-		s.slow = jamPart / 2
+		s.slow = slowParent / 2
 	}
 }
 
