Warming nodes have budgets from their own sizes where the link is not told

With no link told a warming node's budget was 0: each director sent it one pull in 18 to 21 s, and what it lost to a crash it got back late. The settings vouch for a stand-in: weights are nominal, and their unit is what a node sends at full pace (specifics.pace-kb-per-s). A node's size over the directors that use it (its location's, or all for a parent) is what this director may take for its part; the directors together still use 0.4 of the stated multiple.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -483,7 +483,13 @@
 // parents give it.
 func (l *Logic) fits(now d.Micros, t *tier, n *node, work float64) bool {
 	each := l.part * n.Weight / t.weight
-	if t == &l.edges {
+	switch {
+	case l.part == 0 && l.s.Sized:
+		each = n.Weight / float64(max(1, l.s.Instances))
+		if t == &l.parents {
+			each = n.Weight / float64(max(1, l.s.Directors))
+		}
+	case t == &l.edges:
 		each /= l.missing
 	}
 	allowance := each * warmth(now, n, t.warm) * t.warm.Multiple * budgetPart
