With no parent left to ask, a fill passes the origin's limit by its object

A fill from what the parent holds that found no parent became a fill from the origin without passing the origin's limit and without being counted in it (place(): p.source == nil while p.held).

Test: TestNoParentLeft.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -394,12 +394,7 @@
 		p.ask = true // a question tells soonest whether the node is back
 	}
 	if p.edge == nil {
-		soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
-		late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
-		if soon && (!dl.Again || nt.ask.Due()) && !late {
-			return d.Answer{Verb: d.Hold}
-		}
-		return l.giveUp(now, dl, nt)
+		return l.hold(now, dl, nt, p)
 	}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl), Join: l.s.JoinFills,
@@ -415,6 +410,11 @@
 			load *= l.missing
 		}
 		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
+		if p.source == nil && p.held { // no parent is left to ask for what it holds: a fill from the origin, counted as one
+			if p.held, p.deep, nt.stage = false, true, fillAll; !l.deep.lets(math.Inf(1), unit(nt.hash)/(room*room)) {
+				return l.hold(now, dl, nt, p)
+			}
+		}
 		if p.source == nil {
 			p.source, ans.Held = l.origin, false
 		}
@@ -428,6 +428,18 @@
 	return ans
 }
 
+// hold has a download wait that finds no room, as long as it can still be in time.
+func (l *Logic) hold(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
+	soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, func(n *node) bool {
+		return !nt.tried(n) && mayRun(now, dl, nt, n)
+	})
+	late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
+	if soon && (!dl.Again || nt.ask.Due()) && !late {
+		return d.Answer{Verb: d.Hold}
+	}
+	return l.giveUp(now, dl, nt)
+}
+
 // send counts a pull that goes out.
 func (l *Logic) send(now d.Micros, nt *notes, p *pull, load float64) {
 	for _, n := range []*node{p.edge, p.source} {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -790,3 +790,26 @@
 		})
 	}
 }
+
+// With no parent left to ask for what it holds, a fill goes to the origin, for the part of the objects that its limit leaves.
+func TestNoParentLeft(t *testing.T) {
+	b := newBed(settings(), 2, 1)
+	b.nodes["p0"].skipUntil = b.now + 100*d.Second
+	went := 0
+	const asked = 400
+	for i := range asked {
+		b.gated, b.gate.out, b.deep.out, b.deep.most = b.now, 0, 0, 0.25
+		dl, _ := b.ask(fmt.Sprint("x", i))
+		ans := b.end(dl, 0, d.Missing, d.Untold)
+		if went += bit(ans.Verb == d.Pull); ans.Verb == d.Pull && (ans.Source.ID != "o" || ans.Held || b.deep.out != 1) {
+			t.Fatalf("%+v, %d counted", ans, b.deep.out)
+		}
+		dl.Over = true
+		if ans.Verb == d.Pull {
+			b.end(dl, 0, d.Fulfilled, d.FilledByOrigin)
+		}
+	}
+	if part := float64(went) / asked; part < 0.2 || part > 0.3 {
+		t.Errorf("%.3f of the objects went, want 0.25", part)
+	}
+}
