--- a/logic/logic.go
+++ b/logic/logic.go
@@ -410,7 +410,7 @@
 			load *= l.missing
 		}
 		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
-		if p.source == nil && p.held { // no parent is left to ask for what it holds: a fill from the origin, counted as one
+		if p.source == nil && p.held { // no parent is left to ask: a fill from the origin
 			if p.held, p.deep, nt.stage = false, true, fillAll; !l.deep.lets(math.Inf(1), unit(nt.hash)/(room*room)) {
 				return l.hold(now, dl, nt, p)
 			}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -796,7 +796,7 @@
 	b := newBed(settings(), 2, 1)
 	b.nodes["p0"].skipUntil = b.now + 100*d.Second
 	went := 0
-	const asked = 400
+	const asked = 2000
 	for i := range asked {
 		b.gated, b.gate.out, b.deep.out, b.deep.most = b.now, 0, 0, 0.25
 		dl, _ := b.ask(fmt.Sprint("x", i))
