--- a/director/director.go
+++ b/director/director.go
@@ -221,7 +221,5 @@
 	Pull    int
 	Ending  Ending
 	Filling Filling
-	Last    bool    // the download is finished
-	Linked  bool    // the node told how full its link was, lately:
-	Link    float64 // transfers on it over those that fit at full pace
+	Last    bool // the download is finished
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -275,7 +275,6 @@
 		out.Filling = director.Filling(remark)
 	}
 	out.Ending, out.Last = ending, msg.fields["last"] == "1"
-	out.Link, out.Linked = linkOf(msg.fields["health-info"])
 	dl.out--
 	dl.Over = dl.Over || out.Last
 	h.act(inst, dl, inst.module.After(h.now, &dl.Download, out))
@@ -294,17 +293,6 @@
 	return nil
 }
 
-// linkOf reads how full a node's link is from its load report; nothing where that does not tell.
-func linkOf(report string) (float64, bool) {
-	for pair := range strings.SplitSeq(report, ",") {
-		if value, is := strings.CutPrefix(pair, "x1:"); is {
-			v, err := strconv.ParseFloat(value, 64)
-			return v, err == nil && v >= 0 && !math.IsInf(v, 0)
-		}
-	}
-	return 0, false
-}
-
 // act writes an answer to the wire.
 func (h *host) act(inst *instance, dl *held, a director.Answer) {
 	switch a.Verb {
