--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	deepCut       = 0.5           // a late fill off the origin's
 	lateFill      = 2             // what a fill counts for, in target times, that was late or refused
 	growBy        = 0.25          // what a limit gains by a pull that took no time
-	holdPart      = 0.4           // a held download should need no more than this of what time it has left
+	holdPart      = 0.3           // a held download should need no more than this of what time it has left
 	jamPart       = 0.7           // fills that take more of their target times on average are jammed
 	slowParent    = 0.9           // and a parent whose fills take so much is slow
 	slowMemory    = 16            // fills over which that looks back, about
@@ -362,6 +362,8 @@
 	}
 	p := &pull{sent: now, target: l.target(dl), work: l.work(dl)}
 	load, room := l.works[dl.Type].value, l.room(dl)
+	// while less than a fill may reach the origin, a part of the objects may, the less of those that cost much
+	deep := unit(nt.hash) / (room * room * room)
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
 	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
 		return n.limit.lets((1+room)/2, unit(mix(nt.hash^n.hash))) && allowed(n)
@@ -376,8 +378,7 @@
 		} else if warmth(now, p.edge, l.s.Edge) < 1 {
 			nt.stage = max(nt.stage, fillHeld)
 		}
-		// below one fill, the origin is asked for a part of the objects, the less the more work they cost
-		full := !l.gate.lets(room, 0) || nt.stage == fillAll && !l.deep.lets(1, unit(nt.hash)/(room*room))
+		full := !l.gate.lets(room, 0) || nt.stage == fillAll && !l.deep.lets(1, deep)
 		if full && nt.stage != askEdge && l.gated > 0 {
 			l.gated = now
 		}
@@ -411,7 +412,7 @@
 		}
 		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil && p.held { // no parent is left to ask: a fill from the origin
-			if p.held, p.deep, nt.stage = false, true, fillAll; !l.deep.lets(math.Inf(1), unit(nt.hash)/(room*room)) {
+			if p.held, p.deep, nt.stage = false, true, fillAll; !l.deep.lets(math.Inf(1), deep) {
 				return l.hold(now, dl, nt, p)
 			}
 		}
