--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	overloadShare = 0.1           // share of pulls turned away or late from which overload is seen
 	budgetPart    = 0.4           // part of a warming node's budget that the directors together use
 	checks        = 2             // how often within its target time an unanswered pull is looked at
+	asksAtMost    = 2             // edges asked for what they hold before a fill
 	askEdge       = 0             // while fills are jammed, first ask the edge for what it holds,
 	fillHeld      = 1             // then let it fill from what the parent holds,
 	fillAll       = 2             // then from the origin too
@@ -130,6 +131,7 @@
 	errs   []*pull  // ended with an error that names no cause
 	looked d.Micros // when the last pull was looked at, or sent
 	tries  int      // pulls that were more than a question for what is held
+	asked  int      // edges that lack it
 	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
 	ask    storm.Ask
 }
@@ -342,7 +344,9 @@
 		nt.ran = p
 	}
 	if out.Ending == d.Missing && (p.ask || p.held) {
-		nt.stage++
+		if nt.asked += bit(p.ask); !p.ask || nt.asked >= asksAtMost || l.gated == 0 || nt.stage != askEdge {
+			nt.stage++
+		}
 		return l.place(now, dl, nt)
 	}
 	overloaded := l.trouble > overloadShare && !p.cancelled
@@ -365,9 +369,16 @@
 	// while less than a fill may reach the origin, a part of the objects may, the less of those that cost much
 	deep := unit(nt.hash) / (room * room * room)
 	allowed := func(n *node) bool { return !nt.tried(n) && mayRun(now, dl, nt, n) }
-	p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool {
-		return n.limit.lets((1+room)/2, unit(mix(nt.hash^n.hash))) && allowed(n)
-	})
+	takes := func(n *node) bool { return n.limit.lets((1+room)/2, unit(mix(nt.hash^n.hash))) && allowed(n) }
+	if nt.asked > 0 && nt.stage == askEdge {
+		p.edge = l.pick(now, &l.edges, nt, load, func(n *node) bool { return takes(n) && !nt.lacks(n) })
+		if p.edge == nil {
+			nt.stage++
+		}
+	}
+	if p.edge == nil {
+		p.edge = l.pick(now, &l.edges, nt, load, takes)
+	}
 	if p.edge == nil && l.s.Direct && l.pick(now, &l.edges, nt, load, allowed) == nil {
 		p.edge = l.pick(now, &l.parents, nt, load, allowed) // no cache here can take it, full or not
 		p.straight = p.edge != nil
@@ -788,6 +799,10 @@
 	})
 }
 
+func (nt *notes) lacks(n *node) bool {
+	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.edge == n && p.ask })
+}
+
 func (nt *notes) failed(n *node) bool {
 	return slices.ContainsFunc(nt.pulls, func(p *pull) bool { return p.source == n && !p.held })
 }
