--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -11,8 +11,8 @@
 // State is what an agent must not forget: it is stored before any reply that rests on it leaves.
 type State struct {
 	Promised Ballot            `json:"promised"`
-	Entries  []*Entry          `json:"entries"`  // in the order they came
-	InForce  map[string]string `json:"in_force"` // by director: the script
+	Entries  []*Entry          `json:"entries"`        // in the order they came
+	InForce  map[string]string `json:"in_force"`       // by director: the script
 	Past     []Past            `json:"past,omitempty"` // settled changes whose entries made room, the latest last
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,7 @@
 	ctx       context.Context
 	work      sync.WaitGroup
 
-	calls     chan struct{} // places for calls to others under way
+	calls chan struct{} // places for calls to others under way
 
 	mu      sync.Mutex
 	a       *fleet.Agent
