An agent starts a director again that ended by itself; a full disk in a test of its own

A director that crashed stayed down until a change or a restart of its agent. The agent looks every 250 ms and asks fleet.Keeper; start and change are serialised (Director.begin), and a process that runs without telling how it is, is not started twice.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,7 @@
 const (
 	callsAtOnce = 256
 	callTimeout = time.Second
+	lookAgain   = 250 * time.Millisecond // whether a director still runs
 )
 
 // New takes up from the store, or, where it has nothing, from what the directors' scripts say now.
@@ -161,6 +162,11 @@
 	if err == nil {
 		a.carry(unfinished)
 	}
+	for _, name := range slices.Sorted(maps.Keys(a.directors)) {
+		if dir := a.directors[name]; len(dir.Command) > 0 {
+			a.work.Go(func() { a.keepUp(ctx, dir) })
+		}
+	}
 	slog.Info("agent_started", "agent", a.me.Name, "listen", l.Addr().String(), "directors", len(a.directors))
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
@@ -180,6 +186,30 @@
 	}
 }
 
+// keepUp starts a director again that ended by itself, with the script that it was given last.
+func (a *Agent) keepUp(ctx context.Context, dir *Director) {
+	var k fleet.Keeper
+	tick := time.NewTicker(lookAgain)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		_, err := dir.Report(ctx)
+		running, stopped := dir.process()
+		if !k.Look(a.now(), err == nil || running, stopped) || ctx.Err() != nil {
+			continue
+		}
+		err = dir.Start(ctx)
+		slog.Warn("director_started_again", "agent", a.me.Name, "director", dir.Name, "ends", k.Ends(), "err", err)
+		if nerr := a.store.Note(time.Now(), a.me.Name, "started again "+dir.Name); nerr != nil {
+			slog.Error("not_audited", "agent", a.me.Name, "err", nerr)
+		}
+	}
+}
+
 // save stores what was changed. Where that fails, as on a full disk, the agent goes back to what is stored: what it can't
 // remember it has not said. The caller holds the lock.
 func (a *Agent) save() error {
--- a/internal/agent/director.go
+++ b/internal/agent/director.go
@@ -20,6 +20,7 @@
 // Director is one that an agent looks after.
 type Director struct {
 	config.DirectorEntry
+	begin sync.Mutex // held by who starts it: a change and the keeper may want to at once
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
@@ -87,6 +88,23 @@
 	return 0, errors.New("it is not running")
 }
 
+// process says whether the process that this agent started still runs, and, where it does not, whether it ended as one that was
+// told to stop. Of one that an agent before this one started nothing is known.
+func (d *Director) process() (running, stopped bool) {
+	d.mu.Lock()
+	cmd, ended := d.cmd, d.ended
+	d.mu.Unlock()
+	if cmd == nil {
+		return false, false
+	}
+	select {
+	case <-ended:
+		return false, cmd.ProcessState != nil && cmd.ProcessState.Success()
+	default:
+		return true, false
+	}
+}
+
 // Signal sends it a signal.
 func (d *Director) Signal(s syscall.Signal) error {
 	pid, err := d.pid()
@@ -103,9 +121,14 @@
 
 // Start starts it, where it does not run, and waits until it tells how it is.
 func (d *Director) Start(ctx context.Context) error {
+	d.begin.Lock()
+	defer d.begin.Unlock()
 	if _, err := d.Report(ctx); err == nil {
 		return nil
 	}
+	if running, _ := d.process(); running { // another one would only find its address taken
+		return d.until(ctx, takes, func(state.Report) (bool, string) { return true, "" })
+	}
 	if len(d.Command) == 0 {
 		return errors.New("it does not run, and its inventory has no command")
 	}
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -247,6 +249,85 @@
 	}
 }
 
+// A director that ends by itself is started again with what is in force; one that was told to stop stays down.
+func TestDirectorStartedAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		signal syscall.Signal
+		back   bool
+	}{{"killed", syscall.SIGKILL, true}, {"told to stop", syscall.SIGTERM, false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f, op := newFleet(t, 1, 1)
+			if r, err := op.Run(t.Context(), adding(t, op.Look(t.Context()), `log(level = "warn")`, 0), nil, nil); err != nil || !r.Whole() {
+				t.Fatalf("%+v, %v", r, err)
+			}
+			before := op.Look(t.Context()).Directors[0].Report.PID
+			if err := f.Director("n000").Signal(c.signal); err != nil {
+				t.Fatal(err)
+			}
+			down := false
+			back := func() bool {
+				x := op.Look(t.Context()).Directors[0]
+				down = down || !x.Up
+				return x.Up && x.Report.PID != before && !x.Drifted && strings.Contains(x.Script, "warn")
+			}
+			wait := 20 * time.Second
+			if !c.back { // three times as long as the first start would take
+				wait = 4 * time.Second
+			}
+			came := false
+			for end := time.Now().Add(wait); !came && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				came = back()
+			}
+			if came != c.back || !down {
+				t.Errorf("back: %v, was down: %v", came, down)
+			}
+		})
+	}
+}
+
+// Agents whose disks are full refuse what they could not remember, and nothing has changed; with room again the same change goes through.
+func TestDiskFull(t *testing.T) {
+	if os.Getenv("TALLY_DISK_FULL") == "" { // in a process of its own: the limit holds for all files of one
+		cmd := exec.Command(os.Args[0], "-test.run=^TestDiskFull$")
+		cmd.Env = append(os.Environ(), "TALLY_DISK_FULL=1", "TALLYPROXY_TEST_DIRECTOR=") // not as a director
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("%v: %s", err, out[max(0, len(out)-2000):])
+		}
+		return
+	}
+	_, op := newFleet(t, 3, 1)
+	view := op.Look(t.Context())
+	signal.Ignore(syscall.SIGXFSZ) // a write past the limit is an error then, as on a full disk
+	defer signal.Reset(syscall.SIGXFSZ)
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_FSIZE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	full := syscall.Rlimit{Cur: 1, Max: limit.Max}
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &full); err != nil {
+		t.Fatal(err)
+	}
+	r, err := op.Run(t.Context(), adding(t, view, `log(level = "warn")`, 0), nil, nil)
+	if rerr := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limit); rerr != nil {
+		t.Fatal(rerr)
+	}
+	if err != nil || r.Refused == "" || r.Outcome == fleet.Go {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if n := settled(t, op, "warn"); n != 0 {
+		t.Fatalf("%d have it", n)
+	}
+	r, err = op.Run(t.Context(), adding(t, op.Look(t.Context()), `log(level = "warn")`, 0), nil, nil)
+	if err != nil || !r.Whole() || r.Outcome != fleet.Go {
+		t.Fatalf("with room again: %+v, %v", r, err)
+	}
+	if n := settled(t, op, "warn"); n != 3 {
+		t.Errorf("%d have it", n)
+	}
+}
+
 // A tool always has an answer: also where most agents take calls and never answer them.
 func TestToolReturns(t *testing.T) {
 	f, op := newFleet(t, 3, 1)
