A tool that comes again with a change that is over tells what came of it

Seen in the review of the fleet's change: agents that are done with a change tell no more than its outcome to who takes the right, so the same change taken up again, as ctl.Run does after another decided it, was settled with no targets: no director named, and 'stopped before' where no wave was left. Lines: promised() and next() in fleet/coordinator.go. Test: TestOwnChangeAgain, seen to fail without.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -362,6 +362,7 @@
 		if e := best[id]; c.change == nil || id != c.change.ID {
 			c.open = append(c.open, e)
 		} else if e.Vote != nil || e.Outcome != Open { // it was begun before: the same as resuming
+			e.Change = c.change // those that are done with it told no more than its outcome
 			c.open, c.change = append(c.open, e), nil
 		}
 	}
@@ -384,7 +385,7 @@
 		} else if e.Vote != nil {
 			c.outcome = e.Vote.Outcome
 		}
-		if e.Final {
+		if e.Final && e.Waves < e.Change.Waves() {
 			c.stop = "stopped before"
 		}
 		return c.enter(now, Settling, c.agents, Message{Verb: Accept, Change: c.current, Outcome: c.outcome})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -551,6 +551,20 @@
 	}
 }
 
+// A tool that comes again with a change that all are done with, as after an answer that got lost, is told what came of it.
+func TestOwnChangeAgain(t *testing.T) {
+	w := newWorld(3)
+	change := w.change("c1", "new", 2)
+	for range 2 {
+		tool := w.tool(change)
+		w.calm(100)
+		if r := tool.Result(); tool.Step() != Ended || r.Outcome != Go || len(r.Ends) != 6 || !r.Whole() || r.Refused+r.Stopped != "" {
+			t.Errorf("%v: %+v", tool.Step(), r)
+		}
+	}
+	w.whole(t.Errorf, "again")
+}
+
 // Where no majority can come any more a tool does not wait for one: half of an even fleet that was taken over has answered too.
 func TestSplitVote(t *testing.T) {
 	for _, agents := range []int{2, 4, 5} {
