--- a/logic/logic.go
+++ b/logic/logic.go
@@ -504,7 +504,8 @@
 
 // fits keeps a warming node's budget: what this director may send it within any window. Its part of a warm
 // node is reckoned from the link in, which carries about what the caches of the location miss, or what the
-// parents give it.
+// parents give it; where the link is not told, from the node's size, what it sends at full pace, over those
+// that use it.
 func (l *Logic) fits(now d.Micros, t *tier, n *node, work float64) bool {
 	each := l.part * n.Weight / t.weight
 	switch {
@@ -524,7 +525,8 @@
 
 // look sees to a pull that is still out. When its edge has answered nobody since it was sent, or when
 // the edge has but nothing came through the source since, and other pulls found the same, that node is
-// taken for silent and the download goes elsewhere. Guards against machines that vanish without a reset;
+// taken for silent and the download goes elsewhere; a source only where answers tell how fills went, since few
+// fills go through one from here, and slow is not silent. Guards against machines that vanish without a reset;
 // helps with any that hang. Could harm where a node's few answers are all long ones.
 func (l *Logic) look(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
 	if p.cancelled || now < nt.looked+p.target/checks {
@@ -677,9 +679,9 @@
 	}
 }
 
-// strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where
-// answers don't tell whose fault it was, it takes more, and when no other parent is left either the
-// trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
+// strike counts a fill that a source failed or was slow with; some in a row and it is skipped. Where answers
+// don't tell whose fault it was, every answer through it clears it, and when no other parent is left either
+// the trouble lies behind them: all are used again. Guards against dead and slow parents, and against giving
 // up what parents hold while the origin fails. Could harm while all parents are dead but still listed.
 func (n *node) strike(l *Logic, now d.Micros, p *pull) {
 	if n.sign(p) < strikes {
