--- a/logic/logic.go
+++ b/logic/logic.go
@@ -525,9 +525,9 @@
 
 // look sees to a pull that is still out. When its edge has answered nobody since it was sent, or when
 // the edge has but nothing came through the source since, and other pulls found the same, that node is
-// taken for silent and the download goes elsewhere; a source only where answers tell how fills went, since few
-// fills go through one from here, and slow is not silent. Guards against machines that vanish without a reset;
-// helps with any that hang. Could harm where a node's few answers are all long ones.
+// taken for silent and the download goes elsewhere; a source only where answers tell how fills went, since
+// few fills go through one from here, and slow is not silent. Guards against machines that vanish without a
+// reset; helps with any that hang. Could harm where a node's few answers are all long ones.
 func (l *Logic) look(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
 	if p.cancelled || now < nt.looked+p.target/checks {
 		return d.Answer{}
