The guard against storms knows what caches can do where no link is told

Seen in the review: with the link untold Full() and Able() were 0, so a director with the guard on would take any demand for a storm. The nodes' sizes over the location's directors stand in, as for the budgets. Test: TestAbleWithNoLinkTold.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -749,8 +749,14 @@
 	return able * l.Full() / max(l.edges.weight, 1e-3)
 }
 
-// Full is what they can do when warm: the link in carries about what they miss.
-func (l *Logic) Full() float64 { return l.part / max(l.missing, 1.0/memory) }
+// Full is what they can do when warm: the link in carries about what they miss; where it is not told, it is
+// their sizes.
+func (l *Logic) Full() float64 {
+	if l.part == 0 && l.s.Sized {
+		return l.edges.weight / float64(max(1, l.s.Instances))
+	}
+	return l.part / max(l.missing, 1.0/memory)
+}
 
 // mayRun says whether rule 2 allows a pull to a node after what may have run.
 func mayRun(now d.Micros, dl *d.Download, nt *notes, n *node) bool {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -858,3 +858,22 @@
 		})
 	}
 }
+
+// What a location's caches can do is known by their sizes too, where the link is not told: else any demand would be a storm.
+func TestAbleWithNoLinkTold(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sized bool
+		want  float64
+	}{{"sizes vouched for", true, 10.0 / 4}, {"not", false, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.LinkKB, s.Sized, s.Instances = 0, c.sized, 4
+			b := newBed(s, 0, 1)
+			b.list(d.Node{ID: "e0", Zone: 1, Weight: 4}, d.Node{ID: "e1", Zone: 1, Weight: 6})
+			if got := b.Able(b.now); got != c.want || b.Full() != c.want {
+				t.Errorf("able to %v, %v when warm, want %v", got, b.Full(), c.want)
+			}
+		})
+	}
+}
