Review: one list of agents' names, one check of held downloads, one way through Tick

Found reading the whole change again; behaviour as it was. - Inventory.AgentNames serves the agent, ctl.run and a test, which each had the loop. - hold() takes place()'s allowed in place of wording the same check again. - Settler.Tick has one way out to said(), not two copies; Settles uses strings.CutSuffix.

--- a/fleet/settle.go
+++ b/fleet/settle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,7 +21,8 @@
 // Settles says whether a holder of the right to change is an agent that brings to its end what a tool left open: no operator's
 // work is in its way for longer than that takes.
 func Settles(holder string) bool {
-	return len(holder) > len(ownSuffix) && holder[len(holder)-len(ownSuffix):] == ownSuffix
+	agent, is := strings.CutSuffix(holder, ownSuffix)
+	return is && agent != ""
 }
 
 // Settler is the part of an agent that ends what is open without an operator. It asks others what became of a change that this
@@ -63,17 +65,19 @@
 	for _, id := range ids {
 		out = append(out, s.ask(now, id)...)
 	}
-	if s.c == nil && s.due(now) {
+	var sends []Send
+	switch {
+	case s.c != nil:
+		sends = s.c.Tick(now)
+	case s.due(now):
 		s.c = NewCoordinator(s.a.Name+ownSuffix, max(s.highest, s.a.State.Promised.N)+1, s.names, nil, s.times, nil)
 		s.c.hold = true
-		more, cmds := s.said(now, s.c.Start(now))
-		return append(out, more...), append(do, cmds...)
+		sends = s.c.Start(now)
+	default:
+		return out, nil
 	}
-	if s.c != nil {
-		more, cmds := s.said(now, s.c.Tick(now))
-		out, do = append(out, more...), append(do, cmds...)
-	}
-	return out, do
+	more, do := s.said(now, sends)
+	return append(out, more...), do
 }
 
 // Waits says what it is about, for people.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,13 +105,9 @@
 		s.InForce[name], ok = string(raw), false
 	}
 	a.a = fleet.NewAgent(a.now(), a.me.Name, s, a.inv.Lease, check, sum)
-	var all []string
-	for _, o := range a.inv.Agents {
-		all = append(all, o.Name)
-	}
 	times := fleet.DefaultTimes()
 	times.Lease = a.inv.Lease
-	a.settler = fleet.NewSettler(a.now(), a.a, all, times)
+	a.settler = fleet.NewSettler(a.now(), a.a, a.inv.AgentNames(), times)
 	if !ok {
 		return a.store.Save(a.a.State)
 	}
--- a/internal/config/inventory.go
+++ b/internal/config/inventory.go
@@ -51,6 +51,14 @@
 	return nil
 }
 
+// AgentNames are all agents, as the file has them.
+func (i *Inventory) AgentNames() (names []string) {
+	for _, a := range i.Agents {
+		names = append(names, a.Name)
+	}
+	return names
+}
+
 // Of are the directors of an agent.
 func (i *Inventory) Of(agent string) (all []DirectorEntry) {
 	for _, d := range i.Directors {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -300,10 +300,7 @@
 	if err != nil {
 		return fleet.Result{}, err
 	}
-	var names []string
-	for _, a := range f.Inventory.Agents {
-		names = append(names, a.Name)
-	}
+	names := f.Inventory.AgentNames()
 	c := fleet.NewCoordinator(f.Me, n, names, change, f.times, judge(worse))
 	type came struct {
 		from string
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -230,11 +230,7 @@
 	}
 	peers := agent.NewPeers(f.Inventory, id)
 	defer peers.Close()
-	var names []string
-	for _, a := range f.Inventory.Agents {
-		names = append(names, a.Name)
-	}
-	c, begun := fleet.NewCoordinator("op/killed", 100, names, change, fleet.DefaultTimes(), nil), time.Now()
+	c, begun := fleet.NewCoordinator("op/killed", 100, f.Inventory.AgentNames(), change, fleet.DefaultTimes(), nil), time.Now()
 	now := func() d.Micros { return d.Micros(time.Since(begun) / time.Microsecond) }
 	for sends := c.Start(now()); c.Step() < at; sends = append(sends, c.Tick(now())...) {
 		if len(sends) == 0 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -406,7 +406,7 @@
 		p.ask = true // a question tells soonest whether the node is back
 	}
 	if p.edge == nil {
-		return l.hold(now, dl, nt, p)
+		return l.hold(now, dl, nt, p, allowed)
 	}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl), Join: l.s.JoinFills,
@@ -424,7 +424,7 @@
 		p.source = l.pick(now, &l.parents, nt, load, func(n *node) bool { return !nt.failed(n) })
 		if p.source == nil && p.held { // no parent is left to ask: a fill from the origin
 			if p.held, p.deep, nt.stage = false, true, fillAll; !l.deep.lets(math.Inf(1), deep) {
-				return l.hold(now, dl, nt, p)
+				return l.hold(now, dl, nt, p, allowed)
 			}
 		}
 		if p.source == nil {
@@ -441,10 +441,8 @@
 }
 
 // hold has a download wait that finds no room, as long as it can still be in time.
-func (l *Logic) hold(now d.Micros, dl *d.Download, nt *notes, p *pull) d.Answer {
-	soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, func(n *node) bool {
-		return !nt.tried(n) && mayRun(now, dl, nt, n)
-	})
+func (l *Logic) hold(now d.Micros, dl *d.Download, nt *notes, p *pull, allowed func(*node) bool) d.Answer {
+	soon := len(l.edges.ready) == 0 || slices.ContainsFunc(l.edges.ready, allowed)
 	late := now-dl.Arrived+d.Micros(p.work/holdPart) >= p.target || now+l.poll(dl) >= dl.Leaves
 	if soon && (!dl.Again || nt.ask.Due()) && !late {
 		return d.Answer{Verb: d.Hold}
