front: requests are handed on only once the client is known to be there still

A request whose connection waited for a place, with the close behind it in the same socket, was sent on. A client that was not listened to any more was not seen to leave, nor to take back, until all its answers were written. A request that lay unread as the writer half closed the connection was read after that and dropped. A connection accepted and without a place while the listener closed was neither served nor ended. One on which something was always open never ended. An answer that a slow reader had not taken was reset away by whatever that client still sent. One told to stay away could be reset over that very answer.

Checked: each test fails with its fix alone taken out: handed on as read ("asked for tag 1"), deaf until written (nothing came), the writer shuts without a look (nothing came), Close without those that wait (i/o timeout), taken for ever (still served), left over what is unsent (connection reset by peer), room made over an answer (1 ended at once), a lowered limit (more are held). Ruled out: a reset of a request crossing the director's own close of a resting connection is allowed for 50 ms by the protocol; bytes that lie there are looked for before the close.

At fault: read() handed each message on as it was parsed and waited for <-written once deaf; write() set shut though bytes may lie between socket and table; Serve and Close shared no state; makeRoom took connections out of the table before their descriptors were free. Now the reader alone shuts a connection (turn), its end is one phase that only goes on, and what it no longer heeds is read on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,9 +5,9 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 
 	"tallyproxy/director"
 	"tallyproxy/internal/config"
@@ -26,6 +27,8 @@
 const (
 	mostOpen = 32 // requests that the protocol lets a client have open on one connection
 	roomPart = 32 // part of the places that are made free at a time
+
+	discarded = 8 << 10 // bytes read at once of what is not heeded
 )
 
 // Sink takes what clients say, from the connections' goroutines. What an Ask points to is the sink's.
@@ -38,19 +41,22 @@
 
 // Server accepts connections and holds as many as it may.
 type Server struct {
-	sinks    []Sink
-	types    map[string]*director.ContentType
-	pool     *pool.Pool
-	margins  director.Margins
-	most     atomic.Int64 // connections held
-	stopping atomic.Bool
-	came     atomic.Int64  // when the last connection came, as Unix nanoseconds
-	waiting  atomic.Bool   // a connection waits for a place
-	left     chan struct{} // a connection has ended
-	mu       sync.Mutex
-	conns    map[*Conn]struct{}
-	faults   int       // of clients, since one was logged
-	logged   time.Time // when
+	sinks     []Sink
+	types     map[string]*director.ContentType
+	pool      *pool.Pool
+	margins   director.Margins
+	most      atomic.Int64 // connections held
+	stopping  atomic.Bool
+	came      atomic.Int64  // when the last connection came, as Unix nanoseconds
+	waiting   atomic.Bool   // a connection waits for a place
+	accepts   atomic.Int64  // listeners that are open, or of which a connection has no place yet
+	left      chan struct{} // a connection has ended
+	mu        sync.Mutex
+	conns     map[*Conn]struct{}
+	closing   bool
+	listeners []net.Listener
+	faults    int       // of clients, since one was logged
+	logged    time.Time // when
 }
 
 // New makes a server for so many connections, which are spread over the sinks in turn.
@@ -73,6 +79,11 @@
 func (s *Server) Serve(l net.Listener) error {
 	done := make(chan struct{})
 	defer close(done)
+	s.accepts.Add(1)
+	defer s.accepts.Add(-1)
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
 	go s.tidy(done)
 	for next := 0; ; next++ {
 		nc, err := l.Accept()
@@ -94,6 +105,9 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		if s.closing { // it was accepted before; what lies in it is taken
+			c.finish()
+		}
 		s.mu.Unlock()
 		c.sink.Opened(c)
 		go c.run()
@@ -119,9 +133,7 @@
 		if s.Conns() < most {
 			return
 		}
-		if s.makeRoom(1+most/roomPart) > 0 {
-			continue
-		}
+		s.makeRoom(1 + most/roomPart) // a descriptor is free once its connection has left the table
 		select {
 		case <-s.left:
 		case <-time.After(span(s.margins.Retry) / 8):
@@ -143,14 +155,17 @@
 		case <-done:
 			return
 		case now := <-tick.C:
+			if over := s.Conns() - int(s.most.Load()); over > 0 { // the limit was lowered
+				s.makeRoom(over)
+			}
 			s.mu.Lock()
 			for c := range s.conns {
 				c.mu.Lock()
 				switch {
-				case c.ending:
+				case c.phase != serving:
 				case !c.since.IsZero() && now.Sub(c.since) > span(s.margins.Silent):
-					c.refuse()
-				case len(c.open) == 0 && c.queued == 0 && now.Sub(c.used) > span(s.margins.Resting):
+					c.refuse(hearsNothing)
+				case c.answered() && now.Sub(c.used) > span(s.margins.Resting):
 					c.finish()
 				}
 				c.mu.Unlock()
@@ -163,17 +178,24 @@
 // Stop has STATUS answer that the director is leaving.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Close ends all connections once what is open on them has been answered.
+// Close accepts no more, and ends all connections once what is open on them has been answered, those too that were accepted
+// and have no place yet.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.closing = true
+	for _, l := range s.listeners {
+		l.Close()
+	}
 	for c := range s.conns {
 		c.mu.Lock()
 		c.finish()
 		c.mu.Unlock()
 	}
 	s.mu.Unlock()
-	for until := time.Now().Add(span(s.margins.Flush)); s.Conns() > 0 && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
+	for until := time.Now().Add(span(s.margins.Flush)); s.Conns() > 0 || s.accepts.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			return
+		}
 	}
 }
 
@@ -199,6 +221,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	newest, soon := now.Add(-span(s.margins.Retry)), now.Add(span(s.margins.Retry)/2)
+	known := now.Add(-span(s.margins.Late)) // an answer has come by now: a reset would take it away
 	var worst []rest
 	for c := range s.conns {
 		c.mu.Lock()
@@ -209,8 +232,7 @@
 		case c.away.After(soon):
 			r.rank = 1
 		}
-		if len(c.open) == 0 && c.queued == 0 &&
-			(r.rank == 1 || c.used.Before(newest)) {
+		if c.answered() && c.phase != dead && (c.used.Before(newest) || r.rank == 1 && c.used.Before(known)) {
 			at, _ := slices.BinarySearchFunc(worst, r, func(a, b rest) int {
 				return cmp.Or(a.rank-b.rank, a.used.Compare(b.used))
 			})
@@ -222,8 +244,7 @@
 	}
 	for _, r := range worst {
 		r.c.mu.Lock()
-		if len(r.c.open) == 0 && r.c.queued == 0 && !r.c.unread() { // still
-			delete(s.conns, r.c)
+		if bytes, _ := r.c.unread(); r.c.answered() && !bytes { // still
 			r.c.end()
 			ended++
 		}
@@ -232,24 +253,35 @@
 	return ended
 }
 
-// unread says whether bytes have come that were not read yet: closed now, the connection would be reset over them.
-func (c *Conn) unread() (some bool) {
-	raw, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	in, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	in.Control(func(fd uintptr) {
+// unread says whether bytes have come that were not read yet, or the client's end: closed over bytes, the connection would
+// be reset.
+func (c *Conn) unread() (bytes, end bool) {
+	c.control(func(fd int) {
 		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		bytes = err == nil && n > 0
+		end = err == nil && n == 0 || err == syscall.ECONNRESET
+	})
+	return bytes, end
+}
+
+// unsent says whether the system still holds bytes that the client has not taken.
+func (c *Conn) unsent() (some bool) {
+	c.control(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
 		some = err == nil && n > 0
 	})
 	return some
 }
 
+func (c *Conn) control(do func(fd int)) {
+	if raw, ok := c.nc.(syscall.Conn); ok {
+		if in, err := raw.SyscallConn(); err == nil {
+			in.Control(func(fd uintptr) { do(int(fd)) })
+		}
+	}
+}
+
 // fault logs what a client did wrong: a line at a time, with the number of those that went without.
 func (s *Server) fault(event string, err error) {
 	s.mu.Lock()
@@ -261,6 +293,26 @@
 	s.faults, s.logged = 0, time.Now()
 }
 
+// phase is how far a connection's end has come. It only goes on.
+type phase int
+
+const (
+	serving phase = iota
+	ending        // to be shut once nothing is open or queued
+	shut          // the client has been told that nothing more comes; its own end is waited for
+	dead
+)
+
+// hearing is what of a client's messages is still heeded. It only shrinks; what comes is read to its end all the same, so that
+// a client that leaves is seen to.
+type hearing int
+
+const (
+	hearsAll     hearing = iota
+	hearsCancels         // no requests any more
+	hearsNothing         // where messages begin is no longer known
+)
+
 // Conn is a client's connection.
 type Conn struct {
 	s    *Server
@@ -272,17 +324,33 @@
 	mu      sync.Mutex
 	open    map[uint64]bool // tags of requests that are owed an answer
 	queue   []answer
-	queued  int  // bytes in it, or being written
-	ending  bool // to be shut once nothing is open or queued
-	shut    bool // the client has been told that nothing more comes; its own end is waited for
-	dead    bool
-	deaf    bool // what the client sends is no longer read
+	queued  int // bytes in it, or being written
+	phase   phase
+	hears   hearing
 	heard   bool // a whole message came
 	doubted bool // what was asked for of late was of use to no node
 	faults  int
 	since   time.Time // when the message that is under way began; zero for none
 	used    time.Time
 	away    time.Time // its client was told not to come before
+
+	left time.Time // when it is left at the latest, once it is shut
+
+	came []taken // the reader's own: taken in, not handed on yet
+}
+
+// taken is a request that came.
+type taken struct {
+	tag uint64
+	ask Ask
+}
+
+// Waits says whether a client still waits for an answer: it has neither cancelled the request nor left. To be asked as an
+// attempt is written, whatever stands in a queue.
+func (c *Conn) Waits(tag uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[tag]
 }
 
 type answer struct {
@@ -323,6 +391,16 @@
 	c.answer(tag, wordThrottled, fields, nil)
 }
 
+// TurnAway answers a request that found no room and of which nothing was sent on. A new try is harmless, but where an earlier
+// one of the same key may have run: how long ago is not known here.
+func (c *Conn) TurnAway(tag uint64, a Ask) {
+	if a.Again && a.Key != "" {
+		c.Abandon(tag)
+		return
+	}
+	c.Throttle(tag, span(c.s.margins.Back))
+}
+
 // Abandon promises nothing.
 func (c *Conn) Abandon(tag uint64) { c.answer(tag, wordAbandoned, "", nil) }
 
@@ -334,7 +412,7 @@
 		share = most / 64
 	}
 	c.mu.Lock()
-	if c.dead || !c.open[tag] {
+	if !c.open[tag] { // also where the connection is dead
 		c.mu.Unlock()
 		body.Free()
 		return
@@ -367,7 +445,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.faults++; c.faults >= mostOpen {
-		c.refuse()
+		c.refuse(hearsCancels)
 	}
 }
 
@@ -380,22 +458,24 @@
 
 // finish shuts the connection once nothing is open or queued. The caller holds the lock.
 func (c *Conn) finish() {
-	c.ending = true
+	if c.phase == serving {
+		c.phase, c.left = ending, time.Now().Add(span(c.s.margins.Connect))
+	}
 	c.signal()
 }
 
-// refuse does so and reads nothing more. The caller holds the lock.
-func (c *Conn) refuse() {
-	c.deaf = true
+// refuse does so and heeds no more than that of what the client sends. The caller holds the lock.
+func (c *Conn) refuse(heed hearing) {
+	c.hears = max(c.hears, heed)
 	c.finish()
 }
 
 // end drops the connection at once. The caller holds the lock.
 func (c *Conn) end() {
-	if c.dead {
+	if c.phase == dead {
 		return
 	}
-	c.dead = true
+	c.phase = dead
 	for _, a := range c.queue {
 		a.body.Free()
 	}
@@ -414,7 +494,7 @@
 	}()
 	func() {
 		defer c.caught()
-		c.read(written)
+		c.read()
 	}()
 	<-written
 	c.sink.Closed(c)
@@ -435,45 +515,115 @@
 	}
 }
 
-// read takes in what the client sends, to its end. A client that closed its side is owed nothing more. What comes from
-// one that is not listened to is passed over once all is answered: closed at once, it could lose the answers.
-func (c *Conn) read(written <-chan struct{}) {
+// read takes in what the client sends, to its end. A client that closed its side is owed nothing more, so requests are handed
+// on only once all that lies in the socket is read: what a client asked for, took back and left behind may lie there together,
+// for as long as the connection waited to be accepted. One that never stops sending has them handed on after a moment.
+func (c *Conn) read() {
 	defer c.Drop()
 	p := parser{pool: c.s.pool}
 	defer p.close()
+	defer c.pass(false)
+	first := time.Time{} // when the oldest of those that wait to be handed on was read
 	for {
 		n, err := c.nc.Read(p.space())
-		came := time.Now()
-		if err != nil {
+		now := time.Now()
+		if err != nil && !c.turn(err) {
 			return
 		}
 		p.fed(n)
-		for {
-			if !c.listens(came, p.begun()) {
-				p.close()
-				<-written
-				io.Copy(io.Discard, c.nc)
-				return
-			}
+		for c.listens(now, p.begun()) {
 			msg, ok, err := p.next()
 			if err != nil {
 				c.s.fault("unreadable_client", err)
 				if msg.tag > 0 {
-					c.take(message{tag: msg.tag}, came)
+					c.take(message{tag: msg.tag}, now)
 				}
 				c.mu.Lock()
-				c.refuse()
+				c.refuse(hearsNothing)
 				c.mu.Unlock()
 			} else if !ok {
 				break
 			} else {
-				c.take(msg, came)
+				c.take(msg, now)
 			}
 		}
+		if len(c.came) == 0 || first.IsZero() {
+			first = now
+		}
+		if bytes, end := c.unread(); !bytes && !end || now.Sub(first) >= span(c.s.margins.Late) {
+			c.pass(true)
+			first = time.Time{}
+		}
+		if !c.listens(now, false) {
+			p.close()
+			c.pass(true)
+			c.discard()
+			return
+		}
+	}
+}
+
+// discard reads on for the client's end alone. Closed with bytes unread the connection would be reset, and its last answers
+// lost.
+func (c *Conn) discard() {
+	for buf := make([]byte, discarded); ; {
+		if _, err := c.nc.Read(buf); err != nil && !c.turn(err) {
+			return
+		}
+	}
+}
+
+// wakeReader has the reader see that the connection may be shut. The caller holds the lock.
+func (c *Conn) wakeReader() { c.nc.SetReadDeadline(time.Unix(1, 0)) }
+
+// turn deals with a read that ended without bytes; false where the connection has ended. The reader alone shuts it, since it
+// alone knows that nothing lies between the socket and the table of open requests: what was sent before the client is told
+// that nothing more comes is taken, what comes later is not.
+func (c *Conn) turn(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.phase == shut && c.unsent() && now.Before(c.left): // a slow reader: its answers are still on their way
+		c.nc.SetReadDeadline(now.Add(span(c.s.margins.Connect)))
+	case c.phase >= shut:
+		return false
+	default:
+		c.nc.SetReadDeadline(time.Time{})
+		bytes, _ := c.unread()
+		if c.phase == serving || !c.answered() || bytes && c.hears == hearsAll && now.Before(c.left) {
+			break
+		}
+		c.phase, c.left = shut, now.Add(span(c.s.margins.Flush))
+		c.nc.SetReadDeadline(now.Add(span(c.s.margins.Connect)))
+		if half, ok := c.nc.(*net.TCPConn); ok {
+			half.CloseWrite()
+		}
+		c.signal()
+	}
+	return true
+}
+
+// answered says whether nothing is owed to the client. The caller holds the lock.
+func (c *Conn) answered() bool { return len(c.open) == 0 && len(c.queue) == 0 && c.queued == 0 }
+
+// pass hands on what was taken in and is still wanted, or drops it.
+func (c *Conn) pass(on bool) {
+	for i, a := range c.came {
+		c.came[i] = taken{}
+		if on && c.Waits(a.tag) {
+			c.sink.Ask(c, a.tag, a.ask)
+		} else {
+			a.ask.Body.Free()
+		}
 	}
+	c.came = c.came[:0]
 }
 
-// listens says whether what the client sends is still read, and keeps the time since when a message is under way.
+// listens says whether what the client sends is still heeded, and keeps the time since when a message is under way.
 func (c *Conn) listens(came time.Time, begun bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -482,29 +632,42 @@
 	} else if c.since.IsZero() {
 		c.since = came
 	}
-	return !c.deaf
+	if c.phase == ending {
+		c.signal() // it may be time to shut it
+	}
+	return c.hears != hearsNothing && c.phase < shut
+}
+
+// cancel takes a request back.
+func (c *Conn) cancel(tag uint64) {
+	c.mu.Lock()
+	was := c.open[tag]
+	delete(c.open, tag)
+	c.signal()
+	c.mu.Unlock()
+	if i := slices.IndexFunc(c.came, func(a taken) bool { return a.tag == tag }); i >= 0 {
+		c.came[i].ask.Body.Free()
+		c.came = slices.Delete(c.came, i, i+1)
+	} else if was {
+		c.sink.NeverMind(c, tag)
+	}
 }
 
 // take deals with one message.
 func (c *Conn) take(msg message, came time.Time) {
 	if msg.verb == "NEVERMIND" {
-		c.mu.Lock()
-		was := c.open[msg.tag]
-		delete(c.open, msg.tag)
-		c.signal()
-		c.mu.Unlock()
-		if was {
-			c.sink.NeverMind(c, msg.tag)
-		}
+		c.cancel(msg.tag)
 		return
 	}
 	c.mu.Lock()
 	twice, many := c.open[msg.tag], len(c.open) >= mostOpen
-	if !twice {
-		c.open[msg.tag] = true
+	if c.hears != hearsAll || c.phase >= shut { // it crossed the end, and is sent again
+		c.mu.Unlock()
+		return
 	}
+	c.open[msg.tag] = true
+	late := c.phase == ending && came.After(c.left) // or a client that never rests would keep it from its end
 	c.used, c.since, c.heard = came, time.Time{}, true
-	shut := c.shut
 	msg.ask.Doubted, msg.ask.Client = c.doubted, c.who
 	c.mu.Unlock()
 	err := error(nil)
@@ -512,7 +675,6 @@
 		err = msg.ask.admit(c.s.types)
 	}
 	switch {
-	case shut: // it crossed the end, and is sent again
 	case twice: // the first use of the tag gets the one answer
 		c.Blame(errors.New("the tag is in use"))
 	case msg.verb == "STATUS":
@@ -529,16 +691,18 @@
 		c.Abandon(msg.tag)
 	case many:
 		c.Blame(errors.New("too many requests at once"))
-		c.Throttle(msg.tag, span(c.s.margins.Back))
+		c.TurnAway(msg.tag, msg.ask)
+	case late:
+		c.TurnAway(msg.tag, msg.ask)
 	default:
 		msg.ask.Came, msg.ask.Body = came, c.s.pool.Body(len(msg.ask.bytes))
 		if !msg.ask.Body.Write(msg.ask.bytes) {
 			msg.ask.Body.Free()
-			c.Throttle(msg.tag, span(c.s.margins.Back))
+			c.TurnAway(msg.tag, msg.ask)
 			return
 		}
 		msg.ask.bytes = nil // the parser's buffer is used again
-		c.sink.Ask(c, msg.tag, msg.ask)
+		c.came = append(c.came, taken{msg.tag, msg.ask})
 	}
 }
 
@@ -546,19 +710,19 @@
 func (c *Conn) write() {
 	for range c.wake {
 		c.mu.Lock()
-		queue, done := c.queue, c.dead || c.ending && len(c.open) == 0 && len(c.queue) == 0
+		queue := c.queue
 		c.queue = nil
-		if done && !c.dead { // closed at once, it could take the last answers with it
-			c.shut = true
-			c.nc.SetReadDeadline(time.Now().Add(span(c.s.margins.Connect)))
-			if half, ok := c.nc.(*net.TCPConn); ok {
-				half.CloseWrite()
-			}
+		if c.phase == ending && len(queue) == 0 && c.answered() {
+			c.wakeReader()
 		}
+		done := c.phase >= shut
 		c.mu.Unlock()
 		if done {
 			return
 		}
+		if len(queue) == 0 {
+			continue
+		}
 		var out net.Buffers
 		for _, a := range queue {
 			out = append(append(append(out, a.head), a.body.Parts()...), crlf)
@@ -572,7 +736,7 @@
 		c.queued = max(0, c.queued-int(n))
 		if err != nil {
 			c.end()
-		} else if len(c.queue) > 0 || c.ending && len(c.open) == 0 {
+		} else if len(c.queue) > 0 || c.phase == ending {
 			c.signal()
 		}
 		c.mu.Unlock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -467,7 +467,7 @@
 	eventually(t, "the end was not begun", func() bool {
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
-		return conn.ending
+		return conn.phase == ending
 	})
 	conn.Abandon(1)
 	if got := c.answer(t); got != "1 500  " {
