back: connections stay within the limit with any number of nodes; unwritten is looked at again

Symptom, by reading, forced by tests: with 64 descriptors the parts for clients (32) and nodes (24) and what the process needs itself (12) were 68, and the first connection of each node came on top without bound. A request that moved to another connection could take one that an earlier attempt of its download had used, where a late answer would be taken for its own. A request behind a node that takes no bytes was begun up to the time that a connection may take after it no longer stood.

At fault: put(l, nil) in end(); the exception len(p.conns) > 0 in choose(); one Write for all that waits; Sockets*3/8 beside Sockets/2. Where no connection is to be had the module hears that the pull was never sent, not that its node is down. Connections that rest longest make room for a node that has none.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -47,9 +47,10 @@
 	errGaveUp  = errors.New("given up")
 	errSilent  = errors.New("silent")
 	errStalled = errors.New("stalled in an answer")
-	errNoDial  = errors.New("no connection is free")
 
-	// ErrRecalled ends a pull that was not written yet when its node or source was shunned, or what it asks for was void.
+	// ErrNoRoom ends a pull for which no connection could be had within the limit.
+	ErrNoRoom = errors.New("no connection is free")
+	// ErrRecalled ends a pull that was not written yet when its node or source was shunned, or it no longer stood.
 	ErrRecalled = errors.New("recalled")
 )
 
@@ -83,6 +84,9 @@
 	return f
 }
 
+// Firsts is how many more may be held by nodes that have no other, where all that may be are in use.
+func Firsts(most int64) int64 { return max(1, most/4) }
+
 // Limit sets how many connections may be held when another is opened.
 func (f *Fleet) Limit(most int) { f.most.Store(int64(most)) }
 
@@ -99,7 +103,7 @@
 func (f *Fleet) Question(addr string) error {
 	defer f.held.Add(-1)
 	if f.held.Add(1) > f.most.Load() {
-		return errNoDial
+		return ErrNoRoom
 	}
 	nc, err := net.DialTimeout("tcp4", addr, span(f.margins.Connect))
 	if err != nil {
@@ -222,10 +226,11 @@
 
 // Pull is one request to a node.
 type Pull struct {
-	want Want
-	done func(Answer, error)
-	peer *Peer
-	size int // of what is written for it, at the most
+	want   Want
+	done   func(Answer, error)
+	peer   *Peer
+	before []*Pull // of the same download: it goes over none of their connections
+	size   int     // of what is written for it, at the most
 	// guarded by the peer's lock
 	conn   *conn
 	sent   time.Time // when it was last known not to be written
@@ -239,19 +244,20 @@
 // Send sends a request and never waits. Done is called once, with the answer or an *Error; it must not wait nor call back. The request goes over none of the connections that pulls before it went over: an answer of theirs that is
 // late, or comes twice, would be taken for its own.
 func (p *Peer) Send(w Want, done func(Answer, error), before ...*Pull) *Pull {
-	pull := &Pull{want: w, done: done, peer: p, size: longestHead + w.Body.Len(), sent: time.Now()}
+	pull := &Pull{want: w, done: done, peer: p, before: before, size: longestHead + w.Body.Len(), sent: time.Now()}
+	p.f.makeRoom(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.put(pull, before) {
+	if !p.put(pull) {
 		pull.over = true
-		done(Answer{}, &Error{NotConnected, false, errNoDial})
+		done(Answer{}, &Error{NotConnected, false, ErrNoRoom})
 	}
 	return pull
 }
 
 // put queues a request on a connection; false where there is none. The caller holds the lock.
-func (p *Peer) put(l *Pull, before []*Pull) bool {
-	c := p.choose(l.want.ID, before)
+func (p *Peer) put(l *Pull) bool {
+	c := p.choose(l)
 	if c == nil {
 		return false
 	}
@@ -266,11 +272,10 @@
 
 // choose takes the connection with the fewest open requests, one that is up before one that is not, or opens
 // another where all have their share. One on which the id was given up is left out too.
-func (p *Peer) choose(id string, before []*Pull) *conn {
+func (p *Peer) choose(l *Pull) *conn {
 	var best *conn
 	for _, c := range p.conns {
-		if c.retired || c.open[id] != nil || c.old[id] || len(c.open) >= p.f.margins.Most ||
-			slices.ContainsFunc(before, func(l *Pull) bool { return l.peer == p && l.conn == c }) {
+		if !c.takes(l) {
 			continue
 		}
 		if best == nil || c.rank() < best.rank() || c.rank() == best.rank() && len(c.open) < len(best.open) {
@@ -280,7 +285,11 @@
 	if best != nil && len(best.open) < p.f.margins.Shared {
 		return best
 	}
-	if p.f.held.Add(1) > p.f.most.Load() && len(p.conns) > 0 { // the first of a node is always had
+	most := p.f.most.Load()
+	if len(p.conns) == 0 {
+		most += Firsts(most)
+	}
+	if p.f.held.Add(1) > most {
 		p.f.held.Add(-1)
 		return best
 	}
@@ -290,6 +299,57 @@
 	return c
 }
 
+// takes says whether a pull may go over a connection. The caller holds the lock.
+func (c *conn) takes(l *Pull) bool {
+	return !c.retired && c.open[l.want.ID] == nil && !c.old[l.want.ID] && len(c.open) < c.p.f.margins.Most &&
+		!slices.ContainsFunc(l.before, func(b *Pull) bool { return b.peer == c.p && b.conn == c })
+}
+
+// makeRoom closes the connection that has rested longest, of any node, where as many are held as may be and this one has none
+// that rests: so each node gets its first within the limit, however many there are.
+func (f *Fleet) makeRoom(p *Peer) {
+	if f.held.Load() < f.most.Load() {
+		return
+	}
+	p.mu.Lock()
+	rests := slices.ContainsFunc(p.conns, func(c *conn) bool { return !c.retired && len(c.open) == 0 })
+	p.mu.Unlock()
+	if rests {
+		return
+	}
+	var oldest *conn
+	var used time.Time
+	f.each(func(q *Peer) {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		for _, c := range q.conns {
+			if c.rests() && (oldest == nil || c.used.Before(used)) {
+				oldest, used = c, c.used
+			}
+		}
+	})
+	if oldest == nil {
+		return
+	}
+	oldest.p.mu.Lock()
+	if oldest.rests() {
+		oldest.release()
+		oldest.end(errGaveUp)
+	}
+	oldest.p.mu.Unlock()
+}
+
+// release gives the connection's place free, once. The caller holds the lock.
+func (c *conn) release() {
+	if !c.freed {
+		c.freed = true
+		c.p.f.held.Add(-1)
+	}
+}
+
+// rests says whether a connection is up and nothing is open on it. The caller holds the lock.
+func (c *conn) rests() bool { return !c.dead && c.nc != nil && len(c.open) == 0 && len(c.queue) == 0 }
+
 // GiveUp tells the node to drop the request. Done is called all the same, once the node has been told, unless
 // an answer comes first.
 //
@@ -337,6 +397,7 @@
 	used    time.Time
 	retired bool
 	dead    bool
+	freed   bool // its place is another's
 }
 
 // rank says which connection is better, the lower the better.
@@ -391,7 +452,7 @@
 		delete(c.open, id)
 		// The node closed the connection before it had the request, which goes over another, once.
 		if closed && l.stage < WhollyWritten && !l.gaveUp && !l.moved && !c.p.gone && !l.recalled() {
-			if l.moved = true; c.p.put(l, nil) {
+			if l.moved = true; c.p.put(l) {
 				continue
 			}
 		}
@@ -413,7 +474,11 @@
 
 // run opens the connection and holds it to its end.
 func (c *conn) run() {
-	defer c.p.f.held.Add(-1)
+	defer func() {
+		c.p.mu.Lock()
+		c.release()
+		c.p.mu.Unlock()
+	}()
 	nc, err := net.DialTimeout("tcp4", c.p.addr, span(c.p.f.margins.Connect))
 	c.p.mu.Lock()
 	if err != nil || c.dead {
@@ -557,27 +622,53 @@
 	}
 }
 
-// recall takes the requests out of what is about to be written, and ends them. What gives others up stays in.
-func (c *conn) recall(queue []item, out []byte, ends []int) []byte {
+// recall takes the requests out of what is not written yet and ends them, where they no longer stand, or all of them. What
+// gives others up stays in, and so does what the node has begun to get: from is where that ends.
+func (c *conn) recall(queue []item, out []byte, ends []int, from int, all bool) []byte {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	kept, from := out[:0], 0
+	kept, begin := out[:0], 0
 	for i, it := range queue {
-		part := out[from:ends[i]]
-		from = ends[i]
-		switch {
-		case it.never:
-			kept = append(kept, part...)
-		case it.pull != nil:
+		part := out[begin:ends[i]]
+		begun := begin < from
+		begin = ends[i]
+		if it.pull != nil && !it.never && !begun && len(part) > 0 && (all || it.pull.gaveUp || it.pull.recalled()) {
+			err := error(ErrRecalled)
+			if it.pull.gaveUp {
+				err = errGaveUp
+			}
 			it.pull.stage = NothingWritten
-			c.over(it.pull, Answer{}, &Error{NothingWritten, false, ErrRecalled})
-			queue[i].pull = nil
+			c.over(it.pull, Answer{}, &Error{NothingWritten, it.pull.gaveUp, err})
+			queue[i].pull, part = nil, nil
 		}
+		kept = append(kept, part...)
 		ends[i] = len(kept)
 	}
 	return kept
 }
 
+// send writes, and looks anew at what waits behind a node that is slow to take bytes: an attempt that no longer stands is not
+// begun. It says how many bytes of what is left in out were written.
+func (c *conn) send(queue []item, out []byte, ends []int) (left []byte, n int, err error) {
+	// As late as can be: a pause of the process between decision and writing is none between this and the next line.
+	if !c.p.f.sound() {
+		out = c.recall(queue, out, ends, 0, true)
+	}
+	step := span(c.p.f.margins.Connect)
+	if late := span(c.p.f.margins.Late); late > 0 {
+		step = min(step, late)
+	}
+	for until := time.Now().Add(span(c.p.f.margins.Connect)); ; {
+		c.nc.SetWriteDeadline(time.Now().Add(step))
+		wrote := 0
+		wrote, err = c.nc.Write(out[n:])
+		if n += wrote; err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) {
+			return out, n, err
+		}
+		out = c.recall(queue, out, ends, n, !c.p.f.sound())
+	}
+}
+
 // write passes requests on until the connection ends.
 func (c *conn) write() {
 	var ends []int
@@ -629,12 +720,7 @@
 		}
 		c.queue = c.queue[len(queue):]
 		c.p.mu.Unlock()
-		// As late as can be: a pause of the process between decision and writing is none between this and the next line.
-		if !c.p.f.sound() {
-			out = c.recall(queue, out, ends)
-		}
-		c.nc.SetWriteDeadline(time.Now().Add(span(c.p.f.margins.Connect)))
-		n, err := c.nc.Write(out)
+		out, n, err := c.send(queue, out, ends)
 		if len(buf) > len(small) {
 			c.p.f.pool.Put(buf)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,12 +36,17 @@
 // CoresUp is how many cores the program may be busy on at a time.
 func (l Limits) CoresUp() int { return int(math.Ceil(l.Cores)) }
 
-// Clients is how many connections of clients are held at most; they hold a third of the descriptors.
-func (l Limits) Clients() int { return l.Sockets / 2 }
+// own is how many descriptors are kept for the director itself: standard input, output and error, two of the runtime's poller
+// and two of its control group's limits, the listener, a connection that was accepted beyond the limit, two of the command
+// channel's, a file that is read again; and as many for what is closed and not yet given back, the operator's socket and talk.
+func (l Limits) own() int { return max(12, l.Sockets/8) }
 
-// Dials is how many connections to nodes are held at most. What is left is for the listener, the command
-// channel and the runtime.
-func (l Limits) Dials() int { return l.Sockets * 3 / 8 }
+// Clients is how many connections of clients are held at most; usual ones hold a third of the descriptors.
+func (l Limits) Clients() int { return min(l.Sockets/2, (l.Sockets-l.own())*4/7) }
+
+// Dials is how many connections to nodes are held at most, but for a quarter more where a node has no other (Firsts of back). With
+// clients' and the director's own they stay within the limit, however many nodes there are.
+func (l Limits) Dials() int { return (l.Sockets - l.own() - l.Clients()) * 4 / 5 }
 
 // Memory is what Go's runtime may use, in bytes; the rest is for what it does not count.
 func (l Limits) Memory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
