logic: a cold node's budget holds for the sum of all directors, the first pull of each too

Symptom: fits() let a pull go while the level was under the allowance, before its own work counted, so each director's first was free.

Checked: budgets alone don't help, since a part of less than a pull must round to none or one. A bucket with a lot drawn once gives half of what is borne or lets all come at once; so the lot is drawn anew in each half of the window, and over a fleet it adds up to the parts: at most three halves of 0.4 meet in a window, 0.6 N, and chance below root of N.

Also: an answer says until when its pull may begin: not once the client's time is over, nor once a deduped download's mark may be gone (the window ended between decision and write). Margins that leaned on the connect time-out where the protocol has a figure of its own take that: how long new downloads are taken after the signal to stop (2 x 400 ms before, 10 s with a time-out of 5 s), until when all must be answered, and that no pull begins a tenth of a second after its client left.

--- a/director/director.go
+++ b/director/director.go
@@ -117,7 +117,8 @@
 	Resting Micros // a client's connection that had nothing open for so long is closed
 	Back    Micros // after a refusal without the module's word, the client may come back
 	Flush   Micros // a client that takes no bytes for so long is left
-	Linger  Micros // after the signal to stop, new downloads are still taken for so long
+	Linger  Micros // after the signal to stop, new downloads are still taken for so long,
+	Stop    Micros // and what was taken is answered within this
 	Block   Micros // how long the command channel may hold an answer back
 	Retry   Micros // the pause after an error there
 	Beat    Micros // signs of life of a director to itself come this often
@@ -187,6 +188,7 @@
 	Held     bool   // fill from what the source holds, no more
 	Renew    bool   // serve an ageing copy and renew it behind
 	TimeOut  Micros // for this pull
+	Before   Micros // it is not to begin at this time or later; 0 for no bound
 	Pull     int    // the pull to cancel
 	ComeBack Micros // with Throttle: when the client should try again
 	NoUse    bool   // with Throttle or Abandon: nodes agreed that they can't use it
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,10 @@
 	jamPart       = 0.7           // fills that take more of their target times on average are jammed
 	slowParent    = 0.9           // and a parent whose fills take so much is slow
 	slowMemory    = 16            // fills over which that looks back, about
+
+	stillComing = 6 * d.Second / 10 // the protocol's figures: clients go on coming after the signal to stop,
+	stopWithin  = 3 * d.Second      // which ends the process so long after it, or after the longest expiry,
+	leftBehind  = d.Second / 10     // and no pull begins so long after its client has left
 )
 
 // mean is a running mean that starts with what it sees first.
@@ -72,8 +76,8 @@
 	unheard   int      // pulls found unanswered since then
 	limit     limit    // for pulls to it
 	slow      float64  // what fills through it take of their target times, lately
-	level     float64  // cold work sent and not yet drained from the budget
-	drained   d.Micros
+	level     float64  // cold work sent in this half of the window that counts
+	turn      d.Micros // which half
 }
 
 // limit says how many pulls may be out somewhere. A slow one cuts it, a quick one raises it while it is in
@@ -89,8 +93,7 @@
 	return float64(m.out) < max(1, m.most)*part && object < m.most
 }
 
-// ended takes a pull that took a part of its target time: one that took over slow of it costs the part cut of
-// the limit, but never more than one pull.
+// ended takes a pull that took a part of its target time: over slow it cuts the limit, by one pull at most.
 func (m *limit) ended(part, slow, cut, grow float64) {
 	if part > slow {
 		m.most = max(leastLimit, m.least, m.most-min(1, m.most*cut))
@@ -117,7 +120,6 @@
 	trial        *node
 }
 
-// tier is one rank of nodes.
 type tier struct {
 	ready  []*node // by id
 	warm   d.Warming
@@ -210,9 +212,9 @@
 func Margins(s d.Settings) d.Margins {
 	m := d.Margins{
 		Answer: 2 * s.AnswerGrace, Connect: s.ConnectTimeout, Idle: s.KeepAlive / 16, Stall: s.ConnectTimeout / 2,
-		Shared: max(1, s.Streams/100), Most: max(1, s.Streams), Linger: 2 * s.ConnectTimeout,
+		Shared: max(1, s.Streams/100), Most: max(1, s.Streams), Linger: stillComing + stillComing/3,
 		Block: s.PurgeKept / 5, Retry: s.ConnectTimeout / 4, Confirm: s.ConnectTimeout / 4,
-		Late: s.ConnectTimeout / 8, Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6,
+		Late: min(s.ConnectTimeout/8, leftBehind/2), Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6,
 		Back: min(s.MaxComeBack, s.ConnectTimeout),
 	}
 	long := s.ConnectTimeout // and what a jump that goes unnoticed may cost
@@ -221,11 +223,11 @@
 	for _, t := range s.Types {
 		m.Flush = max(m.Flush, t.Expiry)
 	}
+	m.Stop = min(m.Flush, stopWithin)
 	return m
 }
 
-// Listed takes the list of nodes. A process that started anew is a new node: what was known of the old
-// one, and what is still out there, stays with the old.
+// Listed takes the list of nodes. One that started anew is a new node; what is out there stays with the old.
 func (l *Logic) Listed(now d.Micros, rows []d.Node, complete bool) {
 	old := l.nodes
 	if complete {
@@ -305,8 +307,7 @@
 	return l.place(now, dl, nt)
 }
 
-// Wait says when to ask Where again: for a pull that is out, when to see whether its node has gone
-// silent; for a held download, soon.
+// Wait says when to ask Where again: for a pull that is out, to see whether its node is silent; held, soon.
 func (l *Logic) Wait(now d.Micros, dl *d.Download) d.Micros {
 	nt, _ := dl.Notes.(*notes)
 	if nt == nil || dl.Over {
@@ -418,7 +419,10 @@
 	}
 	ans := d.Answer{
 		Verb: d.Pull, Keep: middleRank, Oldest: l.oldest(now, dl), Join: l.s.JoinFills,
-		Held: p.held, Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now,
+		Held: p.held, Renew: dl.Type.Fresh > 0, TimeOut: dl.Leaves - now, Before: dl.Leaves,
+	}
+	if nt.ran != nil && dl.Type.Repeat == d.Deduped { // its mark may be gone before this is written
+		ans.Before = min(ans.Before, nt.ran.sent+dl.Type.Window)
 	}
 	switch {
 	case dl.Type.PassThrough:
@@ -508,25 +512,26 @@
 	return w.From + (1-w.From)*float64(max(0, age))/float64(w.Time)
 }
 
-// fits keeps a warming node's budget: what this director may send it within any window. Its part of a warm
-// node is reckoned from the link in, which carries about what the caches of the location miss, or what the
-// parents give it; where the link is not told, from the node's size, what it sends at full pace, over those
-// that use it.
+// fits keeps a warming node's budget: what this director may send it in half of the window that counts, a
+// part of what it bears by the link in, which carries what caches miss or parents give; untold, by its size.
+// No pull goes beyond it, nor the first: hundreds of directors may make theirs at once. Where a part is less
+// than a pull, which of them makes one is by chance, drawn anew each half.
 func (l *Logic) fits(now d.Micros, t *tier, n *node, work float64) bool {
 	each, held := l.part*n.Weight/t.weight, l.held(now, false)
 	switch {
+	case l.part == 0 && l.s.Sized && t == &l.parents:
+		each, held = n.Weight/float64(max(1, l.s.Directors)), l.held(now, true)
 	case l.part == 0 && l.s.Sized:
 		each = n.Weight / float64(max(1, l.s.Instances))
-		if t == &l.parents {
-			each, held = n.Weight/float64(max(1, l.s.Directors)), l.held(now, true)
-		}
 	case t == &l.edges:
 		each /= l.missing
 	}
-	allowance := each * held * warmth(now, n, t.warm) * t.warm.Multiple * budgetPart
-	n.level = max(0, n.level-allowance*float64(now-n.drained))
-	n.drained = now
-	return n.level <= allowance*float64(t.warm.Window)/2
+	half := max(1, t.warm.Window/2)
+	if turn := now / half; n.turn != turn {
+		n.turn, n.level = turn, 0
+	}
+	allowance := each * held * warmth(now, n, t.warm) * t.warm.Multiple * budgetPart * float64(half)
+	return n.level+work <= allowance+work*unit(n.hash^l.s.Seed^mix(uint64(n.turn)))
 }
 
 // look sees to a pull that is still out. When its edge has answered nobody since it was sent, or when
@@ -766,8 +771,7 @@
 	return able * l.held(at, false) * l.Full() / max(l.edges.weight, 1e-3)
 }
 
-// Full is what they can do when warm: the link in carries about what they miss; where it is not told, it is
-// their sizes.
+// Full is what they can do when warm: what the link in carries over what they miss; untold, their sizes.
 func (l *Logic) Full() float64 {
 	if l.part == 0 && l.s.Sized {
 		return l.edges.weight / float64(max(1, l.s.Instances))
--- /dev/null
+++ b/logic/rare_test.go
@@ -0,0 +1,115 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	d "tallyproxy/director"
+)
+
+// Rule 4 under the sum: directors that know nothing of one another, all alike and all asked at once for more than fits, keep what
+// a cold node bears in every window, with no more beyond it than chance has. What a part does not fill is not lost either.
+func TestColdNodeUnderTheSum(t *testing.T) {
+	for _, directors := range []int{1, 3, 8, 20, 30, 60, 300} {
+		for _, busy := range []int{1, 12} { // how much more one of them is asked for
+			t.Run(fmt.Sprint(directors, " directors, one asked ", busy, " times as much"), func(t *testing.T) {
+				s := settings()
+				s.Instances = directors
+				var beds []*bed
+				for i := range directors {
+					s.Seed = mix(uint64(i))
+					b := newBed(s, 3, 1)
+					b.list(d.Node{ID: "e9", Zone: 1, Started: b.now})
+					beds = append(beds, b)
+				}
+				begun, number := beds[0].now, 0
+				var sent []d.Micros
+				for beds[0].now < begun+s.Edge.Time {
+					for i, b := range beds {
+						times := 1
+						if i == 0 {
+							times = busy
+						}
+						for range times * max(1, 600/directors) {
+							number++
+							b.missing = 0.5
+							dl, ans := b.ask(fmt.Sprint(number))
+							if ans.Verb != d.Pull {
+								continue
+							}
+							if ans.Node.ID == "e9" {
+								sent = append(sent, b.now)
+							}
+							b.end(dl, 0, d.Fulfilled, d.Hit)
+						}
+						b.now += 100 * ms
+					}
+				}
+				bears := func(at d.Micros) float64 { // of the link's four transfers; half of pulls miss; 0.2 s of work each
+					return s.Edge.Multiple * 4 / 4 / 0.5 * warmth(at, beds[0].nodes["e9"], s.Edge) / 0.2 * 2
+				}
+				all := 0.0
+				for i, at := range sent {
+					last := i
+					for last < len(sent) && sent[last] < at+s.Edge.Window {
+						last++
+					}
+					if n := bears(at); float64(last-i) > n+2*math.Sqrt(n)+2 {
+						t.Fatalf("%d in the window from %d ms, which bears %.1f", last-i, (at-begun)/ms, n)
+					}
+				}
+				for at := begun; at < begun+s.Edge.Time; at += s.Edge.Window {
+					all += bears(at)
+				}
+				if float64(len(sent)) < all/5 {
+					t.Errorf("%d in all, where %.0f would have been borne", len(sent), all)
+				}
+			})
+		}
+	}
+}
+
+// A deduped download whose window ends is not begun after it, however long its pull waits to be written.
+func TestNoPullBeginsTooLate(t *testing.T) {
+	cases := []struct {
+		name   string
+		repeat d.Repeat
+		window d.Micros
+		before d.Micros // of the second pull, after the first was sent
+	}{
+		{"retriable", d.Retriable, d.Second, 3 * d.Second},
+		{"deduped, a short window", d.Deduped, d.Second, d.Second},
+		{"deduped, a long window", d.Deduped, 9 * d.Second, 3 * d.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(settings(), 3, 1)
+			b.t.Repeat, b.t.Window = c.repeat, c.window
+			begun := b.now
+			dl, first := b.ask("a")
+			if first.Verb != d.Pull || first.Before != dl.Leaves {
+				t.Fatalf("first %+v", first)
+			}
+			again := b.end(dl, 10*ms, d.Failed, d.NoPlace)
+			if again.Verb != d.Pull || again.Before != begun+c.before {
+				t.Errorf("again %+v, want it before %d", again, begun+c.before)
+			}
+		})
+	}
+}
+
+// The protocol's figures for the end of a process hold with any settings: what was taken is answered before it may be killed.
+func TestMarginsOfAnyCustomer(t *testing.T) {
+	for _, connect := range []d.Micros{20 * ms, 400 * ms, 5 * d.Second} {
+		for _, expiry := range []d.Micros{500 * ms, 1500 * ms, 30 * d.Second} {
+			s := settings()
+			s.ConnectTimeout, s.KeepAlive, s.Streams = connect, 30*d.Second, 100
+			s.Types[0].Expiry = expiry
+			m := Margins(s)
+			if m.Linger <= 600*ms || m.Linger > d.Second || m.Stop > min(expiry, 3*d.Second) || m.Late > 50*ms {
+				t.Errorf("connect %d, expiry %d: linger %d, stop %d, late %d", connect, expiry, m.Linger, m.Stop, m.Late)
+			}
+		}
+	}
+}
