route: an attempt is checked against its client, its time and the purges as it is written

Symptom, by reading, forced by tests: a client that left or took its request back while the word of it waited behind others in a shard was sent a first attempt, and a further one. A reader stood still while the shard's queue was full, so leaving was not seen at all. A deduped download could be written after its window.

Now one place decides it: Void, asked by the writer as the bytes go out, says no where the client no longer waits (front's table of open tags is the one owner of that), where the time is over, or where a purge came since. Asks never wait for a full shard: they are turned away, which harms nothing; a repeat that may have run is abandoned. Close ends what is in hand by a time and gives up what still comes through the module's own word.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,6 +92,7 @@
 	// owned by the goroutine
 	downloads map[*front.Conn]map[uint64]*download // emptied as they end
 	timers    *wheel.Wheel[*download]
+	closed    bool // what comes now is given up at once
 }
 
 // download is one in hand, until its final answer is out and its pulls have ended.
@@ -211,6 +212,25 @@
 	return int(r.open.Load())
 }
 
+// Close has what is in hand end by a time, and what still comes be given up at once.
+func (r *Router) Close(by time.Time) {
+	end := r.at(by)
+	for _, s := range r.shards {
+		s.calls.Push(func() {
+			s.closed = true
+			for _, of := range s.downloads {
+				for _, dl := range of {
+					dl.Leaves = min(dl.Leaves, end)
+					for _, p := range dl.pulls {
+						p.until = min(p.until, end)
+					}
+					s.plan(dl)
+				}
+			}
+		})
+	}
+}
+
 // Do makes a call while the module is at rest.
 func (r *Router) Do(call func()) {
 	defer caught(nil)
@@ -360,9 +380,13 @@
 	return d
 }
 
-// Ask takes a download from a client.
+// Ask takes a download from a client. It never waits: the connection's reader must go on, to see that its client leaves.
 func (s *Shard) Ask(c *front.Conn, tag uint64, a front.Ask) {
-	s.calls.Put(func() {
+	taken := s.calls.Try(func() {
+		if !c.Waits(tag) {
+			a.Body.Free()
+			return
+		}
 		if !s.ids.Claim(a.Txn, s.number) { // a node could not tell the two apart
 			a.Body.Free()
 			c.Blame(errors.New("txn: it is that of an open request"))
@@ -379,6 +403,9 @@
 		}
 		dl.Arrived = s.at(came)
 		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - s.margins.Answer
+		if s.closed {
+			dl.Leaves = min(dl.Leaves, s.now())
+		}
 		if s.downloads[c] == nil {
 			s.downloads[c] = map[uint64]*download{}
 		}
@@ -387,10 +414,18 @@
 		defer caught(dl)
 		s.where(dl)
 	})
+	if !taken {
+		a.Body.Free()
+		c.TurnAway(tag, a)
+	}
 }
 
 // where asks where a download goes, and does what is answered.
 func (s *Shard) where(dl *download) {
+	if !dl.conn.Waits(dl.tag) { // its client has left; the word of it waits behind others
+		s.finish(dl)
+		return
+	}
 	s.act(dl, s.decide(dl, func(now director.Micros) director.Answer { return s.module.Where(now, &dl.Download) }))
 }
 
@@ -412,7 +447,7 @@
 
 // NeverMind says that a client no longer waits for a download.
 func (s *Shard) NeverMind(c *front.Conn, tag uint64) {
-	s.calls.Put(func() {
+	s.calls.Push(func() {
 		if dl := s.downloads[c][tag]; dl != nil {
 			s.finish(dl)
 		}
@@ -421,7 +456,7 @@
 
 // Closed says that a client is gone with all it asked for.
 func (s *Shard) Closed(c *front.Conn) {
-	s.calls.Put(func() {
+	s.calls.Push(func() {
 		for _, dl := range s.downloads[c] {
 			s.finish(dl)
 		}
@@ -499,9 +534,11 @@
 			w.Source = a.from.of[s.number]
 		}
 	}
-	if late := s.margins.Late; late > 0 {
-		decided := s.start.Add(span(a.at - s.offset))
-		w.Void = func() bool { return s.purges.Load() != a.purges && time.Since(decided) > span(late) }
+	decided, end := s.start.Add(span(a.at-s.offset)), s.start.Add(span(a.Before-s.offset))
+	w.Void = func() bool {
+		now := time.Now()
+		return !dl.conn.Waits(dl.tag) || a.Before > 0 && !now.Before(end) ||
+			s.margins.Late > 0 && s.purges.Load() != a.purges && now.Sub(decided) > span(s.margins.Late)
 	}
 	s.pulled.Add(1)
 	p := &pull{until: a.at + a.TimeOut}
@@ -541,6 +578,9 @@
 	} else {
 		answer.Body.Free()
 	}
+	if !dl.Over && !dl.conn.Waits(dl.tag) {
+		s.finish(dl)
+	}
 	out := director.Outcome{Pull: number, Ending: how, Filling: fillings[answer.Note], Last: dl.Over}
 	s.act(dl, s.decide(dl, func(now director.Micros) director.Answer { return s.module.After(now, &dl.Download, out) }))
 }
@@ -603,6 +643,8 @@
 		return director.Broken
 	case e.Stage < back.WhollyWritten && errors.Is(err, back.ErrRecalled):
 		return director.Recalled
+	case e.Stage < back.WhollyWritten && errors.Is(err, back.ErrNoRoom): // which is no word of the node
+		return director.NeverSent
 	case e.GaveUp && e.Stage < back.WhollyWritten:
 		return director.NeverSent
 	case e.GaveUp:
--- a/shard/queue.go
+++ b/shard/queue.go
@@ -30,6 +30,16 @@
 	return q.put(x)
 }
 
+// Try puts a thing in where there is room for it; false where there is none.
+func (q *Queue[T]) Try(x T) bool {
+	q.mu.Lock()
+	if len(q.items) >= q.most {
+		q.mu.Unlock()
+		return false
+	}
+	return q.put(x)
+}
+
 // Push puts a thing in that can't wait: the end of what was handed out, of which there are never more than that.
 func (q *Queue[T]) Push(x T) bool {
 	q.mu.Lock()
