serve: after the signal to stop all is answered before the process may be killed

Symptom, by reading, forced by tests: the end waited for open downloads without a bound, so one at a node that hangs, with time left, was still open at 3.7 s, when SIGKILL may come (the test without the fix: ended after 4.99 s). Clients that went on asking kept it from its end. Directors of one seed drew the same lots.

Checked: a second SIGTERM and SIGHUP during the end change nothing; SIGTERM before the start is over ends the director once it is; clients that rest see an end and no reset, also where a request crosses it; the channel that moves while a call is out is followed and the old one's late answer does nothing.

Now what was taken has until the longest expiry, 3 s at the most, after the signal; what comes after the time in which clients may still come is given up at once, by the module's word; connections are shut by their readers.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -171,7 +171,7 @@
 	own := newHeart(c.Site.Settings, margins, channel.Hurry, g.settled)
 	fleet.Heed(own.Sound)
 	channel.Watch(heard{own, g})
-	d := newDecider(c.Site.Settings, options(o, c.Limits, g), margins, fleet, shards, f.Divided)
+	d := newDecider(ownSettings(c), options(o, c.Limits, g), margins, fleet, shards, f.Divided)
 	d.watch(own)
 	known, err := channel.Known(c.Known)
 	if err != nil {
@@ -241,12 +241,13 @@
 			slog.Info("reloaded", "channel", c.Channel)
 		}
 	}
+	stopped := time.Now()
 	slog.Info("stopping", "open", d.open())
 	server.Stop()
 	keeper.stop()
 	// What waits in the listener's queue was taken: it is let in, and has a moment to ask. Clients that go on coming keep the
 	// listener open no longer than they are allowed to come, once more.
-	linger, settle := time.Now().Add(span(margins.Linger)), o.Settle
+	linger, settle := stopped.Add(span(margins.Linger)), o.Settle
 	if settle == 0 {
 		settle = margins.Confirm
 	}
@@ -256,9 +257,7 @@
 		}
 	}
 	l.Close()
-	for d.open() > 0 {
-		time.Sleep(span(margins.Linger) / 100)
-	}
+	d.close(stopped.Add(span(margins.Stop))) // then all is answered, also what goes on coming, and the clients are told to leave
 	server.Close()
 	g.stop()
 	leave()
@@ -268,6 +267,13 @@
 	return nil
 }
 
+// ownSettings are the platform's, with a seed of this director's own: a fleet may be told the same, and its chances are to part.
+func ownSettings(c config.Config) director.Settings {
+	s := c.Site.Settings
+	s.Seed = manners.Seed(c.Site.Seed, c.Name)
+	return s
+}
+
 // decider is what decides: one module for all shards, or, as an experiment, one for each, that is told of as many more
 // directors as there are.
 type decider struct {
@@ -322,6 +328,12 @@
 	}
 }
 
+func (d *decider) close(by time.Time) {
+	for _, r := range d.routers {
+		r.Close(by)
+	}
+}
+
 func (d *decider) open() (n int) {
 	for _, r := range d.routers {
 		n += r.Open()
