feed: a dial that nobody answers ends with its time, so that the next call can begin

Symptom, by reading: a call that is given up leaves its dial under way (net/http, getConn: "the dial should proceed even if the request is canceled"), and two at most may be. Where the channel's machine is silent, both hang for as long as the system tries, two minutes, and no call can begin meanwhile; after its return the next try of the system counts, up to 15 s and more later.

Checked: a listener whose queue is full stands for it. Without the time-out the dial goes on (test: "it goes on"). Ruled out: answers with the same, an older or half an older number (new table), a call that is out when the address moves (test of serve).

At fault: net.Dialer{} without Timeout in dialIPv4.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -224,10 +224,13 @@
 }
 
 // dialIPv4 keeps the channel's connections on TCP over IPv4: the fleet's bench refuses other sockets, and a
-// name that also stands for an IPv6 address must not open one.
-func dialIPv4(ctx context.Context, _, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp4", addr)
+// name that also stands for an IPv6 address must not open one. A call that is given up leaves its dial to go on, and two at most
+// may be under way: without an end of their own those that nobody answers would keep all later calls back.
+func dialIPv4(within time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		d := net.Dialer{Timeout: within}
+		return d.DialContext(ctx, "tcp4", addr)
+	}
 }
 
 // Follow asks the channel for what comes next until the context ends, each time at the address that Move named last.
@@ -235,7 +238,7 @@
 func (f *Feed) Follow(ctx context.Context, m director.Margins, apply func([]Event)) {
 	client := &http.Client{
 		Timeout:   span(m.Block) + 2*span(m.Connect),
-		Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, DialContext: dialIPv4},
+		Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, DialContext: dialIPv4(span(m.Connect))},
 	}
 	defer client.CloseIdleConnections()
 	times := manners.Derive(f.site.Settings, m)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"reflect"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -344,3 +347,114 @@
 		t.Errorf("the next: %v", next)
 	}
 }
+
+// unheard is an address at which connections neither come up nor are refused, until it is opened: what comes is left in a queue
+// that is full.
+func unheard(t *testing.T) (addr string, opens func() net.Listener) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file.Close()
+	t.Cleanup(func() { l.Close() })
+	for range 64 { // until one does not come up
+		nc, err := net.DialTimeout("tcp4", l.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return l.Addr().String(), func() net.Listener { return l }
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	t.Fatal("all connections come up")
+	return "", nil
+}
+
+// A dial that nobody answers ends with its time, though the call that began it was given up before: two may be under way, and
+// would keep back all calls after them.
+func TestDialThatNobodyAnswers(t *testing.T) {
+	addr, _ := unheard(t)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := dialIPv4(50*time.Millisecond)(context.WithoutCancel(t.Context()), "tcp", addr)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("it came up")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("it goes on")
+	}
+}
+
+// A channel that was away without a word is asked as soon as it is there again, however many calls hung meanwhile.
+func TestChannelBackFromSilence(t *testing.T) {
+	addr, opens := unheard(t)
+	m := director.Margins{Connect: director.Second / 20, Retry: director.Second / 100, Block: director.Second / 20}
+	f := New(site)
+	f.Move(addr)
+	events := make(chan []Event, 16)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Follow(ctx, m, func(e []Event) { events <- e })
+	for until := time.Now().Add(10 * time.Second); !f.Fails(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no call failed")
+		}
+	}
+	time.Sleep(10 * span(m.Connect)) // several calls more hang
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"cursor":1,"cmds":[`+list+`]}`)
+	})}
+	l := opens()
+	go server.Serve(l)
+	defer server.Close()
+	back := time.Now()
+	select {
+	case <-events:
+		if took := time.Since(back); took > 5*time.Second {
+			t.Errorf("after %v", took)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("never asked again")
+	}
+}
+
+// Events that were had, in an answer whose number is the same or an older one, change nothing; what is new in it counts.
+func TestOlderAnswers(t *testing.T) {
+	cases := []struct {
+		name, text string
+		want       int
+		cursor     int64
+	}{
+		{"the same", `{"cursor":4,"cmds":[` + object + "," + group + `]}`, 0, 4},
+		{"older", `{"cursor":2,"cmds":[` + list + "," + gone + `]}`, 0, 4},
+		{"older, with no events", `{"cursor":1,"cmds":[]}`, 0, 4},
+		{"half of it older", `{"cursor":5,"cmds":[` + group + "," + strings.Replace(gone, `"cursor":2`, `"cursor":5`, 1) + `]}`, 1, 5},
+		{"a number behind its events", `{"cursor":3,"cmds":[` + strings.Replace(gone, `"cursor":2`, `"cursor":6`, 1) + `]}`, 1, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := New(site)
+			if _, err := f.Read([]byte(`{"cursor":4,"cmds":[` + list + "," + gone + "," + object + "," + group + `]}`)); err != nil {
+				t.Fatal(err)
+			}
+			events, err := f.Read([]byte(c.text))
+			if err != nil || len(events) != c.want || f.cursor != c.cursor {
+				t.Errorf("%d events, cursor %d, %v", len(events), f.cursor, err)
+			}
+		})
+	}
+}
