back: nothing is written to a connection that its node has closed, nor read from it for ever

Symptom, by reading, forced by tests: a node closes a resting connection, and a request is put on it before the reader has seen the end: it was written and lost, and counts as one that may have run, so a non-retriable download was given up for nothing. A node that goes on answering ids that nobody asked for was read for ever, the connection kept.

Now the writer looks for the end itself before it writes (peek, no wait), and what was not written goes over another connection. After 16 answers that nobody asked for a connection takes no further request and is closed once nothing is open; fewer are passed over, as the protocol's peers may bring a second copy or an unknown id ahead.

Checked: the tests write to a connection without a reader, whose end has come, closed and reset; answer 16 strays; and give a pull up whose connection comes up late (a listener whose queue is full, now in standin, shared with feed's tests).

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 
 	"tallyproxy/director"
 	"tallyproxy/internal/pool"
+	"tallyproxy/internal/socket"
 )
 
 // Stage is how far a pull had come when it failed.
@@ -56,6 +58,7 @@
 
 const (
 	mostOld    = 256     // ids given up on a connection before it is replaced
+	mostStray  = 16      // answers that nobody asked for
 	smallRead  = 4 << 10 // what is read at once but for bodies
 	smallWrite = 2 << 10 // what is written at once but for clients' writes
 )
@@ -398,6 +401,7 @@
 	retired bool
 	dead    bool
 	freed   bool // its place is another's
+	strays  int  // answers that nobody asked for: some bring more than belongs to them, but not without end
 }
 
 // rank says which connection is better, the lower the better.
@@ -565,8 +569,13 @@
 	l := c.open[id]
 	if l != nil {
 		l.stage = AnswerBegun
+		return true
 	}
-	return l != nil
+	if c.strays++; c.strays >= mostStray {
+		c.retired = true
+		c.leave()
+	}
+	return false
 }
 
 func (c *conn) ended(id string, a Answer, err error) error {
@@ -684,6 +693,13 @@
 			c.p.mu.Unlock()
 			continue
 		}
+		// The node may have closed it while it rested, which its reader has not seen yet: what is written then is lost, and may
+		// have run for all that is known. It goes over another.
+		if _, end := socket.Unread(c.nc); end && queue[0].pull.stage == NothingWritten {
+			c.end(io.EOF)
+			c.p.mu.Unlock()
+			return
+		}
 		buf := small
 		if queue[0].pull.size > len(small) {
 			buf = c.p.f.pool.Get()
--- a/internal/back/rare_test.go
+++ b/internal/back/rare_test.go
@@ -15,6 +15,8 @@
 
 	"tallyproxy/director"
 	"tallyproxy/internal/pool"
+	"tallyproxy/internal/socket"
+	"tallyproxy/internal/standin"
 )
 
 // A request that moves to another connection, since its own ended before it was written, goes over none that an earlier pull of
@@ -204,3 +206,93 @@
 		l.GiveUp(false)
 	}
 }
+
+// A node closed a connection while it rested, which its reader has not seen yet, as a request is put on it: it goes over another,
+// unwritten.
+func TestRequestOnAClosedConnection(t *testing.T) {
+	for _, how := range []string{"closed", "reset"} {
+		t.Run(how, func(t *testing.T) {
+			b := newBed(t, margins, 8)
+			nc, err := net.Dial("tcp4", b.l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := b.accept()
+			if how == "reset" {
+				n.Conn.(*net.TCPConn).SetLinger(0)
+			}
+			n.Close()
+			eventually(t, "its end has not come", func() bool { _, end := socket.Unread(nc); return end })
+			ends := make(chan result, 1)
+			pull := &Pull{want: Want{ID: "a1", Sort: "clip", Asset: "o"}, peer: b.Peer, size: longestHead, stage: NothingWritten}
+			pull.done = func(a Answer, err error) { ends <- result{a, err} }
+			c := &conn{p: b.Peer, nc: nc, open: map[string]*Pull{"a1": pull}, old: map[string]bool{}, wake: make(chan struct{}, 1)} // without a reader
+			c.queue = append(c.queue, item{pull: pull})
+			pull.conn = c
+			b.Peer.mu.Lock()
+			b.Peer.conns = append(b.Peer.conns, c)
+			b.Peer.mu.Unlock()
+			c.signal()
+			c.write()
+			n = b.accept()
+			n.hears(t, "want a1")
+			io.WriteString(n, "a1 full - 0\r\n\r\n")
+			expect(t, ends, "full 0")
+		})
+	}
+}
+
+// A node that goes on answering what nobody asked for is left with that connection; a few such answers are passed over.
+func TestAnswersWithoutEnd(t *testing.T) {
+	b := newBed(t, margins, 8)
+	_, a1 := b.send("a1")
+	n := b.accept()
+	n.hears(t, "want a1")
+	for range mostStray - 1 {
+		io.WriteString(n, "zz data - 2\r\nxx\r\n")
+	}
+	io.WriteString(n, "a1 full - 0\r\n\r\n")
+	expect(t, a1, "full 0")
+	_, a2 := b.send("a2")
+	n.hears(t, "want a2") // over the same
+	io.WriteString(n, "zz data - 2\r\nxx\r\n")
+	io.WriteString(n, "a2 full - 0\r\n\r\n")
+	expect(t, a2, "full 0")
+	if _, err := n.in.ReadByte(); err != io.EOF {
+		t.Errorf("it is still open: %v", err)
+	}
+}
+
+// A connection that comes up after its pull was given up brings nothing of it. Its node's queue is full, so that it comes up late.
+func TestConnectionThatComesUpLate(t *testing.T) {
+	l, err := standin.Unheard()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f := New(pool.New(4), margins, 8)
+	defer f.Close()
+	p := f.Peer(l.Addr().String())
+	for i, sure := range []bool{false, true} {
+		ends := make(chan result, 1)
+		p.Send(Want{ID: fmt.Sprint("a", i), Sort: "clip", Asset: "o"}, func(a Answer, err error) { ends <- result{a, err} }).GiveUp(sure)
+		expect(t, ends, "not connected, given up")
+	}
+	ends := make(chan result, 1)
+	p.Send(Want{ID: "a2", Sort: "clip", Asset: "o"}, func(a Answer, err error) { ends <- result{a, err} })
+	for answered := false; !answered; { // what came before it, and it
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(10 * time.Second))
+		defer nc.Close()
+		if nc.RemoteAddr() == nil || !l.Ours(nc) {
+			n := node{nc, bufio.NewReader(nc)}
+			n.hears(t, "want a2")
+			io.WriteString(n, "a2 full - 0\r\n\r\n")
+			answered = true
+		}
+	}
+	expect(t, ends, "full 0")
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,18 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"reflect"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"tallyproxy/director"
 	"tallyproxy/internal/config"
+	"tallyproxy/internal/standin"
 	"tallyproxy/manners"
 	"tallyproxy/pulse"
 )
@@ -348,45 +346,17 @@
 	}
 }
 
-// unheard is an address at which connections neither come up nor are refused, until it is opened: what comes is left in a queue
-// that is full.
-func unheard(t *testing.T) (addr string, opens func() net.Listener) {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	file := os.NewFile(uintptr(fd), "listener")
-	l, err := net.FileListener(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file.Close()
-	t.Cleanup(func() { l.Close() })
-	for range 64 { // until one does not come up
-		nc, err := net.DialTimeout("tcp4", l.Addr().String(), 50*time.Millisecond)
-		if err != nil {
-			return l.Addr().String(), func() net.Listener { return l }
-		}
-		t.Cleanup(func() { nc.Close() })
-	}
-	t.Fatal("all connections come up")
-	return "", nil
-}
-
 // A dial that nobody answers ends with its time, though the call that began it was given up before: two may be under way, and
 // would keep back all calls after them.
 func TestDialThatNobodyAnswers(t *testing.T) {
-	addr, _ := unheard(t)
+	l, err := standin.Unheard()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
 	ended := make(chan error, 1)
 	go func() {
-		_, err := dialIPv4(50*time.Millisecond)(context.WithoutCancel(t.Context()), "tcp", addr)
+		_, err := dialIPv4(50*time.Millisecond)(context.WithoutCancel(t.Context()), "tcp", l.Addr().String())
 		ended <- err
 	}()
 	select {
@@ -401,10 +371,14 @@
 
 // A channel that was away without a word is asked as soon as it is there again, however many calls hung meanwhile.
 func TestChannelBackFromSilence(t *testing.T) {
-	addr, opens := unheard(t)
+	l, err := standin.Unheard()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
 	m := director.Margins{Connect: director.Second / 20, Retry: director.Second / 100, Block: director.Second / 20}
 	f := New(site)
-	f.Move(addr)
+	f.Move(l.Addr().String())
 	events := make(chan []Event, 16)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
@@ -418,7 +392,6 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"cursor":1,"cmds":[`+list+`]}`)
 	})}
-	l := opens()
 	go server.Serve(l)
 	defer server.Close()
 	back := time.Now()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,15 +13,14 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
 
 	"tallyproxy/director"
 	"tallyproxy/internal/config"
 	"tallyproxy/internal/pool"
+	"tallyproxy/internal/socket"
 )
 
 const (
@@ -244,7 +243,7 @@
 	}
 	for _, r := range worst {
 		r.c.mu.Lock()
-		if bytes, _ := r.c.unread(); r.c.answered() && !bytes { // still
+		if bytes, _ := socket.Unread(r.c.nc); r.c.answered() && !bytes { // still
 			r.c.end()
 			ended++
 		}
@@ -253,35 +252,6 @@
 	return ended
 }
 
-// unread says whether bytes have come that were not read yet, or the client's end: closed over bytes, the connection would
-// be reset.
-func (c *Conn) unread() (bytes, end bool) {
-	c.control(func(fd int) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		bytes = err == nil && n > 0
-		end = err == nil && n == 0 || err == syscall.ECONNRESET
-	})
-	return bytes, end
-}
-
-// unsent says whether the system still holds bytes that the client has not taken.
-func (c *Conn) unsent() (some bool) {
-	c.control(func(fd int) {
-		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		some = err == nil && n > 0
-	})
-	return some
-}
-
-func (c *Conn) control(do func(fd int)) {
-	if raw, ok := c.nc.(syscall.Conn); ok {
-		if in, err := raw.SyscallConn(); err == nil {
-			in.Control(func(fd uintptr) { do(int(fd)) })
-		}
-	}
-}
-
 // fault logs what a client did wrong: a line at a time, with the number of those that went without.
 func (s *Server) fault(event string, err error) {
 	s.mu.Lock()
@@ -550,7 +520,7 @@
 		if len(c.came) == 0 || first.IsZero() {
 			first = now
 		}
-		if bytes, end := c.unread(); !bytes && !end || now.Sub(first) >= span(c.s.margins.Late) {
+		if bytes, end := socket.Unread(c.nc); !bytes && !end || now.Sub(first) >= span(c.s.margins.Late) {
 			c.pass(true)
 			first = time.Time{}
 		}
@@ -587,13 +557,13 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	switch {
-	case c.phase == shut && c.unsent() && now.Before(c.left): // a slow reader: its answers are still on their way
+	case c.phase == shut && socket.Unsent(c.nc) && now.Before(c.left): // a slow reader: its answers are still on their way
 		c.nc.SetReadDeadline(now.Add(span(c.s.margins.Connect)))
 	case c.phase >= shut:
 		return false
 	default:
 		c.nc.SetReadDeadline(time.Time{})
-		bytes, _ := c.unread()
+		bytes, _ := socket.Unread(c.nc)
 		if c.phase == serving || !c.answered() || bytes && c.hears == hearsAll && now.Before(c.left) {
 			break
 		}
