logic: the last answers of a process that is told to stop may take half of the time left before it may be killed

What had more than the 3 s was given up there, though SIGKILL comes 0.7 s later at the soonest. It has half of those now; the connections' end has the rest.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,8 +48,9 @@
 	slowMemory    = 16            // fills over which that looks back, about
 
 	stillComing = 6 * d.Second / 10 // the protocol's figures: clients go on coming after the signal to stop,
-	stopWithin  = 3 * d.Second      // which ends the process so long after it, or after the longest expiry,
-	leftBehind  = d.Second / 10     // and no pull begins so long after its client has left
+	stopWithin  = 3 * d.Second      // which ends the process after this, or the longest expiry if that is less,
+	stopSlack   = 7 * d.Second / 10 // and so long more at the soonest;
+	leftBehind  = d.Second / 10     // no pull begins so long after its client has left
 )
 
 // mean is a running mean that starts with what it sees first.
@@ -163,8 +164,7 @@
 	held    func(now d.Micros, all bool) float64
 }
 
-// Options are the operator's, for the modules that this one asks.
-type Options struct {
+type Options struct { // the operator's, for the modules that this one asks
 	Storm storm.Settings
 	Keys  keys.Settings
 	Told  func(now d.Micros, r storm.Report) // hears how storms go, where given
@@ -223,7 +223,7 @@
 	for _, t := range s.Types {
 		m.Flush = max(m.Flush, t.Expiry)
 	}
-	m.Stop = min(m.Flush, stopWithin)
+	m.Stop = min(m.Flush, stopWithin) + stopSlack/2
 	return m
 }
 
