route, front: tests of hundreds leaving in one burst, behind a doubt, and with a stuck writer

Need: the rest of what can lie between a client's leaving and an attempt. 300 clients ask and leave while the shard stands still over one request: the module is asked about none of them afterwards, and the node hears nothing. One leaves, or takes back, while the shard rests in doubt. One leaves while its writer is stuck with 16 MB that it does not read.

--- a/internal/front/rare_test.go
+++ b/internal/front/rare_test.go
@@ -367,3 +367,22 @@
 		t.Errorf("the busy one got %q", got)
 	}
 }
+
+// A client that leaves is seen to while its writer is stuck, since it read nothing: what else it asked for is given up at once.
+func TestLeavingWhileTheWriterIsStuck(t *testing.T) {
+	b := serve(t, 2, 4096, time.Hour)
+	c := b.dial(t)
+	c.Write(append(ask("1"), ask("2")...))
+	conn := b.next(t, 1)
+	b.next(t, 2)
+	conn.Fulfil(1, b.body(16<<20), false) // more than the sockets between them hold
+	eventually(t, "the answer was not taken up", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.queue) == 0 && conn.queued > 0
+	})
+	c.Close()
+	if get(t, b.closed) != conn || conn.Waits(2) {
+		t.Error("its leaving was not seen")
+	}
+}
--- a/internal/route/rare_test.go
+++ b/internal/route/rare_test.go
@@ -92,7 +92,7 @@
 // waitGone waits until the front has seen that a client left, whatever waits for the shard: its connection has ended.
 func (b *bed) waitGone(left int) {
 	b.t.Helper()
-	for until := time.Now().Add(10 * time.Second); b.conns() > left; time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(10 * time.Second); b.server.Conns() > left; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
 			b.t.Fatal("its leaving was not seen")
 		}
@@ -204,7 +204,7 @@
 func TestFullShard(t *testing.T) {
 	b, m := newBarred(t)
 	c := b.another()
-	for until := time.Now().Add(10 * time.Second); b.conns() < 2 && time.Now().Before(until); {
+	for until := time.Now().Add(10 * time.Second); b.server.Conns() < 2 && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
 	b.ask("1", "")
@@ -260,3 +260,85 @@
 		t.Errorf("got %d", got)
 	}
 }
+
+// Hundreds leave in one burst while the shard is behind: the module is asked about none of them, and nothing is written.
+func TestBurstOfLeaving(t *testing.T) {
+	const clients = 300
+	b, m := newBarred(t)
+	b.server.Limit(2 * clients)
+	var burst []net.Conn
+	for range clients {
+		burst = append(burst, b.another())
+	}
+	for until := time.Now().Add(10 * time.Second); b.server.Conns() <= clients; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("not all are held")
+		}
+	}
+	b.ask("1", "")
+	get(t, m.stands)
+	for i, nc := range burst {
+		askOver(nc, fmt.Sprint(1000+i))
+	}
+	for _, nc := range burst {
+		nc.Close()
+	}
+	b.waitGone(1)
+	m.let <- director.Answer{Verb: director.Abandon}
+	b.answered("1 500  ")
+	b.ask("2", "")
+	if got := get(t, m.stands); got != id("o", "2") {
+		t.Errorf("asked about %s", got)
+	}
+	m.let <- pulls
+	b.nodeHears("want " + id("t", "2"))
+	io.WriteString(b.nc, id("t", "2")+" data - 0\r\n\r\n")
+	b.answered("2 200  ")
+}
+
+// doubt is a director that does not trust what it knows until it is told to.
+type doubt struct{ clear chan struct{} }
+
+func (d doubt) Sound() bool {
+	select {
+	case <-d.clear:
+		return true
+	default:
+		return false
+	}
+}
+func (d doubt) Clear() <-chan struct{}     { return d.clear }
+func (doubt) Late(time.Time) time.Duration { return 0 }
+
+// A client leaves, or takes back, while the shard rests in doubt: nothing of it is asked about afterwards.
+func TestLeavingBehindADoubt(t *testing.T) {
+	for _, closes := range []bool{true, false} {
+		t.Run(fmt.Sprint("closes ", closes), func(t *testing.T) {
+			b, m := newBarred(t)
+			c := b.another()
+			own, set := doubt{make(chan struct{})}, make(chan struct{})
+			b.Shards()[0].calls.Push(func() { b.Watch(own); close(set) }) // by the shard itself, which reads it
+			<-set
+			askOver(c, "1")
+			if closes {
+				c.Close()
+				b.waitGone(1)
+			} else {
+				fmt.Fprint(c, "*2\r\n$9\r\nNEVERMIND\r\n$1\r\n1\r\n*2\r\n$6\r\nSTATUS\r\n$1\r\n2\r\n")
+				if _, err := io.ReadFull(c, make([]byte, 10)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			b.ask("2", "")
+			b.readOn()
+			close(own.clear)
+			if got := get(t, m.stands); got != id("o", "2") {
+				t.Errorf("asked about %s", got)
+			}
+			m.let <- pulls
+			b.nodeHears("want " + id("t", "2"))
+			io.WriteString(b.nc, id("t", "2")+" data - 0\r\n\r\n")
+			b.answered("2 200  ")
+		})
+	}
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -114,7 +114,7 @@
 	back   *bufio.Reader // what the node hears
 	nc     net.Conn      // its connection
 	fleet  *back.Fleet
-	conns  func() int // of clients
+	server *front.Server
 }
 
 func get[T any](t *testing.T, from <-chan T) (v T) {
@@ -209,7 +209,7 @@
 	b.Router, b.fleet = New(b.script, m, fleet, 1), fleet
 	go b.Router.Run()
 	server := front.New([]front.Sink{b.Router.Shards()[0]}, site, p, 8, m)
-	b.conns = server.Conns
+	b.server = server
 	go server.Serve(l)
 	b.list(director.Ready)
 	if b.client, err = net.Dial("tcp", l.Addr().String()); err != nil {
