front: a request before what can't be read is not handed on once its client has left

Symptom, found in review of: a request, what can't be read and the close in one socket: the request was handed on as the connection turned deaf, without the look for the end. Now the same look stands before all that is handed on, also while what follows is passed over (handOn). Places of connections that have ended, and are free in a moment, are no longer made again by ending others.

Checked: two more rows of TestClientThatLeftWhileItWaited; the package with -race twice.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -224,6 +224,9 @@
 	var worst []rest
 	for c := range s.conns {
 		c.mu.Lock()
+		if c.phase == dead { // its place is free in a moment
+			most--
+		}
 		r := rest{c, 2, c.used}
 		switch {
 		case !c.heard:
@@ -235,13 +238,13 @@
 			at, _ := slices.BinarySearchFunc(worst, r, func(a, b rest) int {
 				return cmp.Or(a.rank-b.rank, a.used.Compare(b.used))
 			})
-			if worst = slices.Insert(worst, at, r); len(worst) > most {
-				worst = worst[:most]
+			if worst = slices.Insert(worst, at, r); len(worst) > max(0, most) {
+				worst = worst[:max(0, most)]
 			}
 		}
 		c.mu.Unlock()
 	}
-	for _, r := range worst {
+	for _, r := range worst[:min(len(worst), max(0, most))] {
 		r.c.mu.Lock()
 		if bytes, _ := socket.Unread(r.c.nc); r.c.answered() && !bytes { // still
 			r.c.end()
@@ -306,7 +309,8 @@
 
 	left time.Time // when it is left at the latest, once it is shut
 
-	came []taken // the reader's own: taken in, not handed on yet
+	came  []taken   // the reader's own: taken in, not handed on yet,
+	first time.Time // and when the oldest of these was read
 }
 
 // taken is a request that came.
@@ -493,7 +497,6 @@
 	p := parser{pool: c.s.pool}
 	defer p.close()
 	defer c.pass(false)
-	first := time.Time{} // when the oldest of those that wait to be handed on was read
 	for {
 		n, err := c.nc.Read(p.space())
 		now := time.Now()
@@ -517,16 +520,9 @@
 				c.take(msg, now)
 			}
 		}
-		if len(c.came) == 0 || first.IsZero() {
-			first = now
-		}
-		if bytes, end := socket.Unread(c.nc); !bytes && !end || now.Sub(first) >= span(c.s.margins.Late) {
-			c.pass(true)
-			first = time.Time{}
-		}
+		c.handOn(now)
 		if !c.listens(now, false) {
 			p.close()
-			c.pass(true)
 			c.discard()
 			return
 		}
@@ -540,6 +536,21 @@
 		if _, err := c.nc.Read(buf); err != nil && !c.turn(err) {
 			return
 		}
+		c.handOn(time.Now())
+	}
+}
+
+// handOn hands on what was taken in, once all that lies in the socket is read, or after a moment.
+func (c *Conn) handOn(now time.Time) {
+	if len(c.came) == 0 {
+		return
+	}
+	if c.first.IsZero() {
+		c.first = now
+	}
+	if bytes, end := socket.Unread(c.nc); !bytes && !end || now.Sub(c.first) >= span(c.s.margins.Late) {
+		c.pass(true)
+		c.first = time.Time{}
 	}
 }
 
--- a/internal/front/rare_test.go
+++ b/internal/front/rare_test.go
@@ -50,6 +50,8 @@
 			frame("ASK", "1", "segment", fields, strings.Repeat("x", 48_000)),
 			frame("ASK", "2", "segment", strings.Replace(fields, "9b", "9c", 1), strings.Repeat("x", 48_000)),
 		}, nil), func(c client) { c.Close() }},
+		{"what can't be read after it, closed", append(ask("1"), "rubbish\r\n"...), func(c client) { c.Close() }},
+		{"much that can't be read after it, closed", append(ask("1"), strings.Repeat("rubbish\r\n", 10_000)...), func(c client) { c.Close() }},
 		{"half of another, closed", append(ask("1"), "*2\r\n$9"...), func(c client) { c.Close() }},
 	}
 	for _, x := range cases {
