--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,7 +50,8 @@
 	stillComing = 6 * d.Second / 10 // the protocol's figures: clients go on coming after the signal to stop,
 	stopWithin  = 3 * d.Second      // which ends the process after this, or the longest expiry if that is less,
 	stopSlack   = 7 * d.Second / 10 // and so long more at the soonest;
-	leftBehind  = d.Second / 10     // no pull begins so long after its client has left
+	leftBehind  = d.Second / 10     // no pull begins so long after its client has left;
+	owedWithin  = 3 * d.Second      // and whoever sends what is no message is owed an end within this
 )
 
 // mean is a running mean that starts with what it sees first.
@@ -127,8 +128,7 @@
 	weight float64 // of the ready nodes, together
 }
 
-// notes are what the module keeps of a download; they go with it.
-type notes struct {
+type notes struct { // what the module keeps of a download; they go with it
 	hash   uint64
 	pulls  []*pull
 	ran    *pull    // the first pull that may have run, also of the client's earlier tries
@@ -214,7 +214,7 @@
 		Answer: 2 * s.AnswerGrace, Connect: s.ConnectTimeout, Idle: s.KeepAlive / 16, Stall: s.ConnectTimeout / 2,
 		Shared: max(1, s.Streams/100), Most: max(1, s.Streams), Linger: stillComing + stillComing/3,
 		Block: s.PurgeKept / 5, Retry: s.ConnectTimeout / 4, Confirm: s.ConnectTimeout / 4,
-		Late: min(s.ConnectTimeout/8, leftBehind/2), Silent: 5 * s.ConnectTimeout, Resting: s.KeepAlive / 6,
+		Late: min(s.ConnectTimeout/8, leftBehind/2), Silent: 2 * owedWithin / 3, Resting: s.KeepAlive / 6,
 		Back: min(s.MaxComeBack, s.ConnectTimeout),
 	}
 	long := s.ConnectTimeout // and what a jump that goes unnoticed may cost
--- a/logic/rare_test.go
+++ b/logic/rare_test.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// The protocol's figures for the end of a process hold with any settings: what was taken is answered before it may be killed.
+// The protocol's figures hold with any settings: what was taken is answered before the process may be killed, and clients that send
+// what is no message have their end in time.
 func TestMarginsOfAnyCustomer(t *testing.T) {
 	for _, connect := range []d.Micros{20 * ms, 400 * ms, 5 * d.Second} {
 		for _, expiry := range []d.Micros{500 * ms, 1500 * ms, 30 * d.Second} {
@@ -107,8 +108,9 @@
 			s.ConnectTimeout, s.KeepAlive, s.Streams = connect, 30*d.Second, 100
 			s.Types[0].Expiry = expiry
 			m := Margins(s)
-			if m.Linger <= 600*ms || m.Linger > d.Second || m.Stop > min(expiry, 3*d.Second)+500*ms || m.Late > 50*ms {
-				t.Errorf("connect %d, expiry %d: linger %d, stop %d, late %d", connect, expiry, m.Linger, m.Stop, m.Late)
+			if m.Linger <= 600*ms || m.Linger > d.Second || m.Stop > min(expiry, 3*d.Second)+500*ms || m.Late > 50*ms ||
+				m.Silent+m.Silent/8 > 3*d.Second || m.Silent < d.Second { // it is looked for eight times in that time
+				t.Errorf("connect %d, expiry %d: linger %d, stop %d, late %d, silent %d", connect, expiry, m.Linger, m.Stop, m.Late, m.Silent)
 			}
 		}
 	}
--- a/manners/manners_test.go
+++ b/manners/manners_test.go
@@ -91,3 +91,19 @@
 		}
 	})
 }
+
+// What is told right after other news is asked for before the shorter of the two graces is over, whatever a customer's are.
+func TestDerive(t *testing.T) {
+	for _, c := range []struct{ purge, drain, first, spread d.Micros }{
+		{500 * ms, 1000 * ms, 450 * ms, 333_333},
+		{500 * ms, 250 * ms, 225 * ms, 166_666},
+		{500 * ms, 0, 450 * ms, 333_333},
+		{0, 2000 * ms, 360 * ms, 266_666},
+		{0, 200 * ms, 180 * ms, 133_333},
+	} {
+		got := Derive(d.Settings{PurgeWithin: c.purge, DrainWithin: c.drain, PurgeKept: 6 * d.Second, ConnectTimeout: 400 * ms}, d.Margins{Block: 1200 * ms})
+		if got.First != c.first || got.Spread != c.spread {
+			t.Errorf("purges within %d, drains within %d: first %d, spread %d", c.purge, c.drain, got.First, got.Spread)
+		}
+	}
+}
