feed: what rests to an address that is no longer asked is closed

Symptom, by reading: after SIGHUP moved the channel the connection to its old address rested until that closed it, a descriptor beyond the two that the sum counts for the channel. Checked: the test says "it is still open" with the change taken out.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -245,7 +245,7 @@
 	if f.may != nil {
 		times = times.Few()
 	}
-	failed, caller := false, manners.New(times, f.seed)
+	failed, caller, asked := false, manners.New(times, f.seed), ""
 	pause, poll := caller.First()
 	f.rest(ctx, pause)
 	for ctx.Err() == nil {
@@ -266,6 +266,10 @@
 		addr, quick := f.addr, f.quick
 		f.quick = false
 		f.mu.Unlock()
+		if asked != addr { // what rests to the old address keeps a descriptor
+			client.CloseIdleConnections()
+			asked = addr
+		}
 		wait, bound := span(poll), span(poll)+2*span(m.Connect)
 		if quick {
 			wait, bound = 0, span(m.Connect)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -431,3 +432,37 @@
 		})
 	}
 }
+
+// A connection that rests to an address that is no longer asked is closed: its descriptor is counted nowhere.
+func TestMoveLeavesNoConnection(t *testing.T) {
+	closed := make(chan struct{}, 16)
+	older := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"cursor":1,"cmds":[`+list+`]}`)
+	}))
+	older.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	older.Start()
+	defer older.Close()
+	newer := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer newer.Close()
+	defer newer.CloseClientConnections()
+	f := New(site)
+	f.Move(older.Listener.Addr().String())
+	had := make(chan struct{}, 16)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	m := director.Margins{Connect: 10 * director.Second, Retry: director.Second / 100, Block: 3600 * director.Second}
+	go f.Follow(ctx, m, func([]Event) {
+		f.Move(newer.Listener.Addr().String()) // as the answer is taken: its connection rests from here on
+		had <- struct{}{}
+	})
+	<-had
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("it is still open")
+	}
+}
