logic, route: a recalled pull counts for nothing; what comes as the director ends is served while it can be

Its list turns over as fast as it can be told, and a download whose home is recalled eight times in a row had used its attempts up; so it had while pulls were late, where one recalled is not to be followed. Ruled out: late answers, waste, struck requests, restarts, which are alike. What came after the time to linger was given up at once; clients there come again at once, on connections that are open still.

At fault: len(nt.pulls) and overloaded in After; s.closed in Ask.

--- a/internal/route/rare_test.go
+++ b/internal/route/rare_test.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// At the end what is in hand is ended in time, and what still comes is given up at once, by the module's word.
+// At the end what is in hand is ended in time, and so is what still comes, by the module's word.
 func TestClose(t *testing.T) {
 	b, m := newBarred(t)
 	b.ask("1", "")
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,7 +92,7 @@
 	// owned by the goroutine
 	downloads map[*front.Conn]map[uint64]*download // emptied as they end
 	timers    *wheel.Wheel[*download]
-	closed    bool // what comes now is given up at once
+	end       director.Micros // when all is to be answered; 0 for no such time
 }
 
 // download is one in hand, until its final answer is out and its pulls have ended.
@@ -212,12 +212,12 @@
 	return int(r.open.Load())
 }
 
-// Close has what is in hand end by a time, and what still comes be given up at once.
+// Close has what is in hand, and what still comes, end by a time.
 func (r *Router) Close(by time.Time) {
 	end := r.at(by)
 	for _, s := range r.shards {
 		s.calls.Push(func() {
-			s.closed = true
+			s.end = end
 			for _, of := range s.downloads {
 				for _, dl := range of {
 					dl.Leaves = min(dl.Leaves, end)
@@ -403,8 +403,8 @@
 		}
 		dl.Arrived = s.at(came)
 		dl.Leaves = dl.Arrived + director.Micros(a.Limit/time.Microsecond) - s.margins.Answer
-		if s.closed {
-			dl.Leaves = min(dl.Leaves, s.now())
+		if s.end > 0 {
+			dl.Leaves = min(dl.Leaves, s.end)
 		}
 		if s.downloads[c] == nil {
 			s.downloads[c] = map[uint64]*download{}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -257,7 +257,7 @@
 		}
 	}
 	l.Close()
-	d.close(stopped.Add(span(margins.Stop))) // then all is answered, also what goes on coming, and the clients are told to leave
+	d.close(stopped.Add(span(margins.Stop))) // then all is answered, also what goes on coming for a moment, and the clients are told to leave
 	server.Close()
 	g.stop()
 	leave()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -129,15 +129,15 @@
 }
 
 type notes struct { // what the module keeps of a download; they go with it
-	hash   uint64
-	pulls  []*pull
-	ran    *pull    // the first pull that may have run, also of the client's earlier tries
-	errs   []*pull  // ended with an error that names no cause
-	looked d.Micros // when the last pull was looked at, or sent
-	tries  int      // pulls that were more than a question for what is held
-	asked  int      // edges that lack it
-	stage  int      // while fills are jammed: askEdge, fillHeld, fillAll
-	ask    storm.Ask
+	hash            uint64
+	pulls           []*pull
+	ran             *pull    // the first pull that may have run, also of the client's earlier tries
+	errs            []*pull  // ended with an error that names no cause
+	looked          d.Micros // when the last pull was looked at, or sent
+	tries, recalled int      // pulls that were more than a question for what is held; that were never written
+	asked           int      // edges that lack it
+	stage           int      // while fills are jammed: askEdge, fillHeld, fillAll
+	ask             storm.Ask
 }
 
 // Logic is one instance.
@@ -339,6 +339,7 @@
 	if out.Ending == d.Recalled { // as if it had not been decided
 		p.blameless = true
 		nt.tries -= bit(!p.ask && !p.held)
+		nt.recalled++
 	}
 	if !ran && dl.Key != "" {
 		l.keys.NotRun(dl.Key, p.sent)
@@ -358,9 +359,9 @@
 		}
 		return l.place(now, dl, nt)
 	}
-	overloaded := l.trouble > overloadShare && !p.cancelled
+	overloaded := l.trouble > overloadShare && !p.cancelled && out.Ending != d.Recalled
 	agreed := len(nt.errs) > bit(!dl.Doubted)
-	if nt.tries > furtherPulls || agreed || len(nt.pulls) >= l.s.MostPulls || overloaded {
+	if nt.tries > furtherPulls || agreed || len(nt.pulls)-nt.recalled >= l.s.MostPulls || overloaded {
 		ans := l.giveUp(now, dl, nt)
 		ans.NoUse = agreed
 		return ans
@@ -651,10 +652,9 @@
 	}
 }
 
-// good clears a node of what was held against it. One that did not take connections may have started anew,
-// cold, before the list tells: unless it still holds what it is asked for, it is warming from now on.
-// Guards against pushing over what restarts in numbers. Could harm where connections fail for another
-// reason, until a hit.
+// good clears a node of what was held against it. One that did not take connections may have started anew
+// before the list tells: unless it holds what it is asked for, it is warming from now on. Guards against
+// pushing over what restarts in numbers. Could harm where connections fail for another reason, until a hit.
 func (n *node) good(now d.Micros, p *pull, holds bool) {
 	if n.down > 0 && holds {
 		n.down = 0
--- a/logic/rare_test.go
+++ b/logic/rare_test.go
@@ -115,3 +115,24 @@
 		}
 	}
 }
+
+// A pull that was recalled is as if it had not been decided, however often that happens while the list turns over: it counts neither
+// towards the attempts nor, while pulls are late, as one that may not be followed.
+func TestRecalledAgainAndAgain(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		b := newBed(settings(), 3, 1)
+		dl, ans := b.ask("a")
+		if overloaded {
+			b.trouble = 1
+		}
+		for i := range 4 * b.s.MostPulls {
+			if ans.Verb != d.Pull {
+				t.Fatalf("overloaded %v: after %d recalls %+v", overloaded, i, ans)
+			}
+			ans = b.end(dl, ms, d.Recalled, d.Untold)
+		}
+		if ans = b.end(dl, ms, d.Fulfilled, d.Hit); ans.Verb != d.Nothing {
+			t.Errorf("overloaded %v: in the end %+v", overloaded, ans)
+		}
+	}
+}
