--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -454,12 +454,10 @@
 	}
 }
 
-func TestCloseAnswersFirst(t *testing.T) {
-	b := serve(t, 2, 64, 10*time.Second)
-	c := b.dial(t)
-	c.Write(ask("1"))
-	conn := b.next(t, 1)
-	done := make(chan struct{})
+// closes begins the server's end, and waits until a connection knows of it.
+func (b *bed) closes(t *testing.T, conn *Conn) (done chan struct{}) {
+	t.Helper()
+	done = make(chan struct{})
 	go func() {
 		b.Server.Close()
 		close(done)
@@ -469,6 +467,15 @@
 		defer conn.mu.Unlock()
 		return conn.phase == ending
 	})
+	return done
+}
+
+func TestCloseAnswersFirst(t *testing.T) {
+	b := serve(t, 2, 64, 10*time.Second)
+	c := b.dial(t)
+	c.Write(ask("1"))
+	conn := b.next(t, 1)
+	done := b.closes(t, conn)
 	conn.Abandon(1)
 	if got := c.answer(t); got != "1 500  " {
 		t.Errorf("got %q", got)
--- a/internal/front/rare_test.go
+++ b/internal/front/rare_test.go
@@ -169,16 +169,7 @@
 	eventually(t, "2 is not open", func() bool { return first.c.Waits(2) }) // the reader stands still with it
 	c.Write(ask("3"))                                                       // and this lies in the socket
 	l.Close()
-	done := make(chan struct{})
-	go func() {
-		b.Server.Close()
-		close(done)
-	}()
-	eventually(t, "the end was not begun", func() bool {
-		first.c.mu.Lock()
-		defer first.c.mu.Unlock()
-		return first.c.phase == ending
-	})
+	done := b.closes(t, first.c)
 	first.c.Abandon(1)
 	first.c.Abandon(2) // all that is known of is answered
 	for _, want := range []string{"1 500  ", "2 500  "} {
@@ -221,16 +212,7 @@
 	c.Write(ask("2"))
 	eventually(t, "it does not wait", b.waiting.Load)
 	l.Close()
-	done := make(chan struct{})
-	go func() {
-		b.Server.Close()
-		close(done)
-	}()
-	eventually(t, "the end was not begun", func() bool {
-		conn.mu.Lock()
-		defer conn.mu.Unlock()
-		return conn.phase == ending
-	})
+	done := b.closes(t, conn)
 	conn.Abandon(1)
 	first.answer(t)
 	first.Close()
