TestStorms: 2,000 clients are played long enough, and all of their first tries answered

Cause: what was called asked counts downloads that ended. Within 3.5 s about 500 end whose clients ignore all advice, and what the boxes, still cold then, can serve: 360 to 450. That lies around the bound.

The bound stays.

--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -52,7 +52,8 @@
 // Result is what came of a storm.
 type Result struct {
 	Clients       int       `json:"clients"`
-	Asked         int       `json:"asked"` // downloads
+	Asked         int       `json:"asked"`    // downloads that ended,
+	Answered      int       `json:"answered"` // and those whose first try was answered, whether they ended or not
 	Tries         int       `json:"tries"`
 	Fulfilled     int       `json:"fulfilled"`
 	Throttled     int       `json:"throttled"` // downloads whose last answer that was,
@@ -362,6 +363,7 @@
 	r.PeakLoad = peak(w)
 	w.Clients.Do(func(book *standin.Book) {
 		r.Lost, r.DoubleFinal, r.Wrong, r.PurgesBroken = book.Lost, book.Twice, book.Wrong, book.Old
+		r.Answered = book.Answered
 		r.KilledTries, r.EarlyTries, r.LostPaused = book.Killed, book.Early, book.Paused
 		r.Series.Asked, r.Series.Advised, r.Series.Served = book.Asked, book.Advised, book.Served
 		if len(book.LostHow) > 0 {
--- a/internal/lab/storm_test.go
+++ b/internal/lab/storm_test.go
@@ -74,7 +74,7 @@
 			s := c.storm
 			s.Within, s.Seed, s.Guard, s.Argv = time.Second, 1, "on", built
 			s.Retries, s.Wait, s.MemoryMB = 12, 100*time.Millisecond, 64
-			if s.Duration = 3500 * time.Millisecond; len(s.Trouble) > 0 {
+			if s.Duration = 3500 * time.Millisecond; len(s.Trouble) > 0 || s.Clients > 1000 { // so many on cold boxes take as long
 				s.Duration = 6500 * time.Millisecond
 			}
 			if s.Directors, s.Boxes = 2, 6; s.Day == "" {
@@ -99,8 +99,8 @@
 			if strings.Contains(log.String(), "event=panic") {
 				t.Error(log.String())
 			}
-			if r.Asked < s.Clients/2 || r.Fulfilled == 0 {
-				t.Errorf("%d asked, %d fulfilled", r.Asked, r.Fulfilled)
+			if r.Answered < s.Clients || r.Asked < s.Clients/2 || r.Fulfilled == 0 {
+				t.Errorf("%d first tries were answered, %d downloads ended, %d of them fulfilled", r.Answered, r.Asked, r.Fulfilled)
 			}
 			if c.calm != (r.Storms == 0) {
 				t.Errorf("%d storms noticed: %+v", r.Storms, r)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -37,6 +37,7 @@
 	mu        sync.Mutex
 	Downloads []Download
 	Answers   map[string]int // by word
+	Answered  int            // downloads whose first try had an answer
 	Lost      int            // tries that were owed an answer and had none
 	Twice     int            // answers beyond the one
 	Wrong     int            // answers with another object's bytes
@@ -300,6 +301,8 @@
 		word, later, _, err := c.Ask(ctx, o, left, dl.Tries > 1, key)
 		if dl.Last = word; err != nil {
 			word = "gone"
+		} else if dl.Tries == 1 {
+			c.W.Clients.Do(func(b *Book) { b.Answered++ })
 		}
 		if c.Fresh {
 			c.Close()
