--- a/follow/follow.go
+++ b/follow/follow.go
@@ -133,6 +133,7 @@
 	next   []string // that it would ask
 	asked  map[string]*source
 	by     d.Micros // when another last asked this one
+	ticked d.Micros // when it last looked
 	deaf   d.Micros // since when no source has answered,
 	lonely d.Micros // and since when none whose word is new
 	own    d.Micros // when the own channel was last heard
@@ -143,6 +144,7 @@
 // source is one that is asked.
 type source struct {
 	sent   d.Micros // the question that is out; 0 for none
+	late   d.Micros // that this one was itself since then
 	asked  d.Micros
 	missed int
 	until  d.Micros // gone, and not asked before this
@@ -189,7 +191,11 @@
 	if len(b.order) == 1 && now-b.born < b.s.Wait {
 		return false // it looks for others first
 	}
-	return b.Chosen() || now-b.by < b.s.Demand || now-max(b.deaf, b.born+b.s.Wait) >= b.every() || b.turn(now)
+	looked := now // a director that is late itself has not looked whom it hears
+	if b.ticked > 0 {
+		looked = min(now, b.ticked+b.s.Every/2)
+	}
+	return b.Chosen() || now-b.by < b.s.Demand || looked-max(b.deaf, b.born+b.s.Wait) >= b.every() || b.turn(looked)
 }
 
 // turn says whether it is this one's turn to see for itself while all whom it hears are behind: as many at a time as follow, by their
@@ -218,8 +224,19 @@
 	return all
 }
 
-// Tick says whom to ask now; the question's number is the time. One that does not answer once has another asked beside it.
+// Tick says whom to ask now; the question's number is the time. One that does not answer once has another asked beside it. It is to be
+// called every half of Every: where it was not, this director was late itself, and what it was told may lie unread. That time is not held
+// against others. Guards against a fleet that has no processors for a moment, and then calls the channel as one.
 func (b *Book) Tick(now d.Micros) (ask []string) {
+	gap := now - b.ticked
+	first := b.ticked == 0
+	if b.ticked = now; !first && gap > b.s.Every {
+		late := gap - b.s.Every/2
+		b.deaf, b.lonely = min(now, b.deaf+late), min(now, b.lonely+late)
+		for _, s := range b.asked {
+			s.late += late
+		}
+	}
 	if b.Chosen() {
 		b.deaf, b.lonely = now, now
 		return nil
@@ -234,7 +251,7 @@
 			s = &source{asked: now - b.every()}
 			b.asked[name] = s
 		}
-		if s.sent > 0 && now-s.sent >= b.every() {
+		if s.sent > 0 && now-s.sent-s.late >= b.every() {
 			s.sent = 0
 			if s.missed++; s.missed >= silent {
 				s.missed, s.until, s.told, s.lists = 0, now+rest*b.s.Every, 0, nil
@@ -253,7 +270,7 @@
 			}
 		}
 		if s.sent == 0 && now-s.asked >= b.every() {
-			s.sent, s.asked = now, now
+			s.sent, s.asked, s.late = now, now, 0
 			ask = append(ask, name)
 		}
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -266,3 +266,38 @@
 		t.Error("a list that is too long")
 	}
 }
+
+// A director that had no processor for a while has not looked whom it hears: it holds that time against nobody, and goes on asking
+// others as before. One whose sources are silent while it looks calls the channel as soon as ever.
+func TestLateItself(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		looks d.Micros // how often
+		calls bool
+	}{{"looks all the time", 50 * ms, true}, {"has no processor", 600 * ms, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(40)
+			f.run(3 * d.Second)
+			b := f.books[f.books["n0"].order[39]]
+			asked := b.Tick(f.now + 130*ms)
+			if len(asked) != sources || b.Calls(f.now) {
+				t.Fatalf("asks %v, calls %v", asked, b.Calls(f.now))
+			}
+			last := f.now + 130*ms
+			for now := last + c.looks; now <= last+600*ms; now += c.looks {
+				if b.Calls(now) && !c.calls {
+					t.Error("it calls before it has looked")
+				}
+				b.Tick(now)
+			}
+			if b.Calls(last+600*ms) != c.calls {
+				t.Errorf("calls: %v", !c.calls)
+			}
+			for _, to := range asked { // what lay unread
+				if b.Answered(last+600*ms, to, Answer{Number: last, Age: 0, Sum: "list"}); !c.calls && b.asked[to].heard != last+600*ms {
+					t.Errorf("the answer of %s is not taken", to)
+				}
+			}
+		})
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -28,7 +28,7 @@
 	"tallyproxy/word"
 )
 
-// message is what one director says to another; one of the five is there.
+// message is what one director says to another; one of the seven is there.
 type message struct {
 	From   string          `json:"f"`
 	Ask    *peers.Ask      `json:"a,omitempty"`
@@ -36,6 +36,14 @@
 	Hint   *peers.Hint     `json:"h,omitempty"`
 	Words  []word.Item     `json:"w,omitempty"`
 	Follow *follow.Message `json:"o,omitempty"`
+	Query  director.Micros `json:"q,omitempty"` // what is in force? The asker's time, which the answer gives back
+	Reply  *reply          `json:"r,omitempty"`
+}
+
+// reply tells what was in force after a query had been put.
+type reply struct {
+	Query director.Micros `json:"q"`
+	Meeting
 }
 
 // meta is what each tells of itself.
@@ -77,7 +85,8 @@
 	large  chan struct{} // messages over connections that are on their way
 	tried  int
 	met    atomic.Bool // one has told what is in force
-	passed int         // words so far
+	passed int         // words so far,
+	asks   int         // and rounds of queries
 	self   string      // the address at which others reach this one
 	noise  *noise
 	done   chan struct{}
@@ -87,13 +96,15 @@
 // Ears are who hears what others say, and tells what they ask for. None may wait; any may be nil, but
 // Question goes with Heard, and InForce with Age.
 type Ears struct {
-	Question func(peers.Hint)                    // a hint is worth a question to its node
-	Heard    func(node string) director.Micros   // when a node last answered here
-	Word     func(from string, i word.Item)      // what the channel told another
-	InForce  func() Meeting                      // what one that has just come should hear
-	Met      func(from string, m Meeting) bool   // one told what is in force; true where that will do
-	Age      func() director.Micros              // how old the newest word of the own channel is
-	Follow   func(from string, m follow.Message) // who follows the channel, and what those tell
+	Question func(peers.Hint)                                         // a hint is worth a question to its node
+	Heard    func(node string) director.Micros                        // when a node last answered here
+	Word     func(from string, i word.Item)                           // what the channel told another
+	InForce  func() (m Meeting, vouches bool)                         // what one that has just come should hear, and whether it can go by that
+	Met      func(from string, m Meeting)                             // one told what was in force at some time: it may have lain in a socket since
+	Doubts   func() bool                                              // whether one is wanted who tells what is in force
+	Told     func(from string, asked director.Micros, m Meeting) bool // one did, after it was asked at a time; true where that will do
+	Age      func() director.Micros                                   // how old the newest word of the own channel is
+	Follow   func(from string, m follow.Message)                      // who follows the channel, and what those tell
 }
 
 // aged is how old another's newest word of the channel was, when it said so.
@@ -286,7 +297,7 @@
 	}
 }
 
-// tick renews leases and looks who is suspected.
+// tick renews leases, looks who is suspected, and asks what is in force where that is in doubt.
 func (t *Talk) tick() {
 	tick := time.NewTicker(span(t.s.Renew) / 4)
 	defer tick.Stop()
@@ -318,9 +329,33 @@
 			return out
 		})
 		t.noise.flush()
+		t.query()
 	}
 }
 
+// queries are put at a time.
+const queries = 2
+
+// query asks some others what is in force, others each time, while this director doubts what it knows. What one says of itself as they
+// meet tells only what was so when it said it: a connection may hold that back for as long as the two are cut off from each other.
+func (t *Talk) query() {
+	if t.ears.Doubts == nil || !t.ears.Doubts() {
+		return
+	}
+	t.mu.Lock()
+	names := slices.Sorted(maps.Keys(t.there))
+	t.asks++
+	first := t.asks * queries
+	t.mu.Unlock()
+	for k := range min(queries, len(names)) {
+		t.ask(names[(first+k)%len(names)])
+	}
+}
+
+func (t *Talk) ask(name string) {
+	t.put(envelope{to: name, m: message{From: t.s.Name, Query: t.now()}})
+}
+
 // suspect takes memberlist's word that one did not answer: it has no other way to say so than its log.
 func (t *Talk) suspect(name string) {
 	t.mu.Lock()
@@ -650,6 +685,19 @@
 		t.ears.Follow(m.From, *m.Follow)
 		return
 	}
+	if m.Query > 0 && t.ears.InForce != nil {
+		if told, vouches := t.ears.InForce(); vouches { // who can't is silent: while nobody can, many ask
+			told.From = t.s.Name
+			t.put(envelope{m.From, message{From: t.s.Name, Reply: &reply{m.Query, told}}, true})
+		}
+		return
+	}
+	if m.Reply != nil && t.ears.Told != nil {
+		if t.ears.Told(m.From, m.Reply.Query, m.Reply.Meeting) {
+			t.met.Store(true)
+		}
+		return
+	}
 	t.with(func(now director.Micros, b *peers.Board) map[string]message {
 		switch {
 		case m.Ask != nil:
@@ -688,7 +736,7 @@
 	if !join || t.ears.InForce == nil {
 		return nil
 	}
-	m := t.ears.InForce()
+	m, _ := t.ears.InForce()
 	m.From = t.s.Name
 	raw, _ := json.Marshal(m)
 	return raw
@@ -700,8 +748,8 @@
 	if !join || t.ears.Met == nil || len(raw) == 0 || json.Unmarshal(raw, &m) != nil {
 		return
 	}
-	if t.ears.Met(m.From, m) {
-		t.met.Store(true)
+	if t.ears.Met(m.From, m); t.ears.Doubts != nil && t.ears.Doubts() {
+		t.ask(m.From)
 	}
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,14 +35,13 @@
 		},
 		Ears{Question: func(h peers.Hint) { hints <- h }, Heard: func(string) director.Micros { return 0 },
 			Word: func(from string, i word.Item) { hints <- peers.Hint{Node: from + " " + i.Object} },
-			InForce: func() Meeting {
-				return Meeting{Age: director.Micros(i+1) * director.Second, Words: []word.Item{{Object: fmt.Sprint("of n", i), At: 1}}}
+			InForce: func() (Meeting, bool) {
+				return Meeting{Age: director.Micros(i+1) * director.Second, Words: []word.Item{{Object: fmt.Sprint("of n", i), At: 1}}}, true
 			},
-			Met: func(from string, m Meeting) bool {
+			Met: func(from string, m Meeting) {
 				if len(m.Words) != 1 || m.Words[0].Object != "of "+from || m.Age < director.Second {
 					t.Errorf("n%d met %s: %+v", i, from, m)
 				}
-				return true
 			},
 			Age: func() director.Micros { return director.Micros(i+1) * director.Second }})
 	if err != nil {
@@ -122,3 +123,120 @@
 	}
 	talks[0].Leave()
 }
+
+// What one tells of itself as it joins may lie in a connection while more is told: it is nothing that a doubt ends with, whoever asks
+// is told what is in force by then. The relay before n1 holds what n0 sends it first until n0 knows more.
+func TestMeetingThatWasHeldBack(t *testing.T) {
+	at, door := []string{free(t), free(t)}, free(t)
+	var known, release atomic.Bool
+	l, err := net.Listen("tcp", door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	packets, err := net.ListenPacket("udp", door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer packets.Close()
+	go func() { // what comes without a connection waits for the same moment
+		to, err := net.Dial("udp", at[1])
+		if err != nil {
+			return
+		}
+		defer to.Close()
+		for in := make([]byte, 1<<16); ; {
+			n, _, err := packets.ReadFrom(in)
+			if err != nil {
+				return
+			}
+			if release.Load() {
+				to.Write(in[:n])
+			}
+		}
+	}()
+	said := make(chan bool, 99)
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer in.Close()
+				first := make([]byte, 1<<16)
+				n, err := in.Read(first)
+				if err != nil {
+					return
+				}
+				for !release.Load() {
+					time.Sleep(time.Millisecond)
+				}
+				out, err := net.Dial("tcp", at[1])
+				if err != nil {
+					return
+				}
+				defer out.Close()
+				out.Write(first[:n])
+				go func() {
+					io.Copy(out, in)
+					out.(*net.TCPConn).CloseWrite()
+				}()
+				io.Copy(in, out)
+			}()
+		}
+	}()
+	type heard struct {
+		met   bool
+		words int
+	}
+	got := make(chan heard, 99)
+	var doubts atomic.Bool
+	doubts.Store(true)
+	begin := func(i int, advertise string, seeds []string, ears Ears) *Talk {
+		begun := time.Now()
+		s := peers.Derive(fmt.Sprint("n", i), uint64(i+1), director.Settings{Instances: 2, Directors: 2, ConnectTimeout: 400_000,
+			Edge: director.Warming{Window: 3 * director.Second}})
+		talk, err := Start(config.Peers{Listen: at[i], Advertise: advertise, Seeds: seeds, Fleet: "test", KeyBytes: bytes.Repeat([]byte{1}, 32)}, s,
+			func() director.Micros { return director.Second + director.Micros(time.Since(begun)/time.Microsecond) }, ears)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(talk.Leave)
+		return talk
+	}
+	begin(1, door, nil, Ears{Met: func(_ string, m Meeting) { got <- heard{true, len(m.Words)} }, Doubts: doubts.Load,
+		Told: func(_ string, asked director.Micros, m Meeting) bool {
+			if asked <= director.Second {
+				t.Errorf("asked at %d", asked)
+			}
+			doubts.Store(false)
+			got <- heard{false, len(m.Words)}
+			return true
+		}, InForce: func() (Meeting, bool) { return Meeting{}, false }, Age: func() director.Micros { return 0 }})
+	begin(0, "", []string{door}, Ears{InForce: func() (m Meeting, vouches bool) {
+		if known.Load() {
+			m.Words = []word.Item{{Object: "o", At: 1}}
+		}
+		said <- true
+		return m, true
+	}, Met: func(string, Meeting) {}, Age: func() director.Micros { return 0 }})
+	<-said
+	known.Store(true)
+	release.Store(true)
+	stale := false
+	for until := time.After(20 * time.Second); ; {
+		select {
+		case h := <-got:
+			if stale = stale || h.met && h.words == 0; h.met {
+				continue
+			}
+			if !stale || h.words != 1 { // as one is told as the two meet, that is what was held back
+				t.Errorf("told %d words; it had been told none before: %v", h.words, stale)
+			}
+			return
+		case <-until:
+			t.Fatal("nobody told what is in force")
+		}
+	}
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -92,6 +92,10 @@
 				careful := 0
 				for _, e := range o.History.Entries() {
 					careful += bit(e.Event == "unvouched" && e.Who == 1)
+					if e.Who == 1 && e.Event == "word" && careful == 2 {
+						t.Errorf("n1 is careful no longer, and only then hears a purge that was told before: %v", e.Of)
+						break
+					}
 				}
 				if careful != 2 {
 					t.Errorf("%d lines say that it went on carefully, and that it no longer did", careful)
--- a/internal/serve/gossip.go
+++ b/internal/serve/gossip.go
@@ -47,7 +47,7 @@
 type heardWord struct {
 	from string
 	word.Item
-	met bool // no word: all that its teller had when they met have come before
+	all bool // no word: all that its teller had when it was asked have come before
 }
 
 const words = 2048 // that wait to be taken; more are dropped: they come again, or by the own channel
@@ -145,7 +145,7 @@
 		case <-g.done:
 			return
 		case w := <-g.words:
-			if w.met {
+			if w.all {
 				g.vouched()
 				continue
 			}
@@ -281,27 +281,7 @@
 		}
 	}, Heard: g.lastHeard, Word: func(from string, i word.Item) {
 		g.hears(heardWord{from, i, false})
-	}, InForce: func() (m peering.Meeting) {
-		if told := g.beliefs.Load(); told != nil {
-			m.Beliefs = *told
-		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		m.Age, m.Words = g.book.Age(g.clock()), g.book.InForce(g.clock())
-		return m
-	}, Met: func(from string, m peering.Meeting) bool {
-		all := true
-		for _, i := range m.Words {
-			all = g.hears(heardWord{from, i, false}) && all
-		}
-		if !all || !g.book.Vouches(m.Age) {
-			return false
-		}
-		if g.own.Doubted() { // it has just started
-			g.warm(from, m.Beliefs)
-		}
-		return g.hears(heardWord{from, word.Item{}, true})
-	}, Age: func() director.Micros {
+	}, InForce: g.inForce, Met: g.met, Doubts: g.doubting, Told: g.toldAll, Age: func() director.Micros {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		return g.book.Age(g.clock())
@@ -319,6 +299,50 @@
 	return nil
 }
 
+// inForce is what one that has just come should hear, and whether it can go by that.
+func (g *gossip) inForce() (m peering.Meeting, vouches bool) {
+	if told := g.beliefs.Load(); told != nil {
+		m.Beliefs = *told
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.Age, m.Words = g.book.Age(g.clock()), g.book.InForce(g.clock())
+	return m, g.book.Vouches(m.Age)
+}
+
+// met takes what another told as the two met. What makes careful binds, but it is no reason to be careful no longer.
+func (g *gossip) met(from string, m peering.Meeting) {
+	for _, i := range m.Words {
+		g.hears(heardWord{from, i, false})
+	}
+	if g.own.Doubted() { // it has just started
+		g.warm(from, m.Beliefs)
+	}
+}
+
+// doubting says whether another is wanted who tells what is in force. After a jump of this one's time that would be nothing.
+func (g *gossip) doubting() bool { return g.own.Jumps() == 0 && (g.own.Doubted() || g.doubts.Load()) }
+
+// toldAll takes what another told when it was asked, at a time, what is in force. It settles a doubt, once all of it has been taken.
+func (g *gossip) toldAll(from string, asked director.Micros, m peering.Meeting) bool {
+	took := g.d.routers[0].Now() - asked
+	g.mu.Lock()
+	vouched := g.book.Vouched(took, m.Age)
+	g.mu.Unlock()
+	if !vouched {
+		return false
+	}
+	for _, i := range m.Words {
+		if !g.hears(heardWord{from, i, false}) {
+			return false
+		}
+	}
+	if g.own.Doubted() {
+		g.warm(from, m.Beliefs)
+	}
+	return g.hears(heardWord{from, word.Item{}, true})
+}
+
 // mostBeliefs are handed to one that starts.
 const mostBeliefs = 64
 
--- a/internal/serve/hearing.go
+++ b/internal/serve/hearing.go
@@ -138,6 +138,9 @@
 		case <-done:
 			return
 		case <-tick.C:
+			for n := len(h.says); n > 0; n-- { // what has come is an answer, however late this one is
+				h.take(talk, <-h.says)
+			}
 			h.ask(talk)
 		case s := <-h.says:
 			h.take(talk, s)
@@ -197,12 +200,8 @@
 			talk.Say(s.from, follow.Message{Want: want})
 			return
 		}
-		if until <= h.began {
-			return // no list is known to have held since this process began: nothing is vouched for yet
-		}
-		h.g.hold(until)
-		if _, words := h.recent(nil); words == s.Answer.Words {
-			h.g.vouched() // two tell the list that is in force here, and there is no purge that it lacks
+		if until > h.began { // else no list is known to have held since this process began
+			h.g.hold(until)
 		}
 	case s.Want != "":
 		h.mu.Lock()
--- a/word/word.go
+++ b/word/word.go
@@ -191,6 +191,12 @@
 // Vouches says whether what this director has is new enough for one that has just come to go by.
 func (b *Book) Vouches(age d.Micros) bool { return age >= 0 && age <= b.s.Kept/2 }
 
+// Vouched says whether what another told is enough to go by, so long after it was asked: an answer that took longer may have lain
+// somewhere while more was told.
+func (b *Book) Vouched(took, age d.Micros) bool {
+	return took >= 0 && took <= b.s.Doubt && b.Vouches(age)
+}
+
 // budget says whether a director may tell one more, and books it.
 func (b *Book) budget(now d.Micros, from string) bool {
 	t, ok := b.from[from]
--- a/word/word_test.go
+++ b/word/word_test.go
@@ -134,6 +134,14 @@
 	if !b.Vouches(3*d.Second) || b.Vouches(3*d.Second+1) || b.Vouches(-1) {
 		t.Error("another age vouches")
 	}
+	for _, x := range []struct {
+		took, age d.Micros
+		want      bool
+	}{{0, 0, true}, {settings().Doubt, 3 * d.Second, true}, {settings().Doubt + 1, 0, false}, {-1, 0, false}, {0, 3*d.Second + 1, false}, {0, -1, false}} {
+		if b.Vouched(x.took, x.age) != x.want {
+			t.Errorf("an answer after %d of age %d: want %v", x.took, x.age, x.want)
+		}
+	}
 }
 
 // Whatever comes in whatever order, twice or late: what binds is careful, no more than half of the caches are avoided by others'
