logic: sending times of what passes through are learned, though it is never a hit

The sending time believed of writes was 3.35 and 4.19 s, their whole target times, the first value; half of their answers came in 0.4 s. Cause: logic.learn took sending times from hits alone, and what passes through never is one. So rule 4's budgets let a tenth of it go to a cold node, and hold() thought each too late to wait.

TestPassThroughIsLearned fails on the text before. Rule 4: what is learned has the origin's time in it, so it is above the true work.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -600,12 +600,12 @@
 		if out.Filling != d.Untold { // where answers tell nothing the share of misses stays as it was
 			step(&l.missing, out.Filling > d.Hit && out.Filling != d.Stale)
 		}
+		if dl.SizeKB == 0 && p.light && (out.Filling == d.Hit || dl.Type.PassThrough) { // which is never a hit
+			l.works[dl.Type].learn(float64(took))
+		}
 		switch out.Filling {
 		case d.Hit, d.Untold:
 			e.limit.ended(part, slowPart, cut, growBy)
-			if dl.SizeKB == 0 && p.light && out.Filling == d.Hit {
-				l.works[dl.Type].learn(float64(took))
-			}
 			if out.Filling == d.Untold && s != e { // it may have been a fill: the source is cleared, the jam learns
 				s.good(now, p, false)
 				if !p.slow {
--- a/logic/rare_test.go
+++ b/logic/rare_test.go
@@ -136,3 +136,60 @@
 		}
 	}
 }
+
+// What passes through is never a hit, so how long it takes is learned from any answer of a node that is not near its limit. Else it is
+// taken for as long as its whole target time: a customer most of whose downloads are writes could not use a cold node, and had none held.
+func TestPassThroughIsLearned(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		passThrough bool
+		filling     d.Filling
+		learned     bool
+	}{
+		{"what passes through", true, d.FilledByOrigin, true},
+		{"what passes through, untold", true, d.Untold, true},
+		{"a hit", false, d.Hit, true},
+		{"a fill", false, d.FilledByOrigin, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.SourcesTold = c.filling != d.Untold
+			s.Types[0].PassThrough = c.passThrough
+			b := newBed(s, 3, 1)
+			ask := func(object string) (*d.Download, d.Answer) {
+				dl := b.download(object)
+				dl.SizeKB = 0
+				return dl, b.Where(b.now, dl)
+			}
+			sent := func() (n int) { // to a cold node in a window
+				b.missing = 0.5
+				b.list(d.Node{ID: "e9", Zone: 1, Started: b.now})
+				for until := b.now + s.Edge.Window; b.now < until; b.now += 50 * ms {
+					for i := range 20 {
+						dl, ans := ask(fmt.Sprint("cold", b.now, " ", i))
+						if ans.Verb == d.Pull && ans.Node.ID == "e9" {
+							n++
+						}
+						if ans.Verb == d.Pull {
+							dl.Over = true // its client has left
+							b.end(dl, 0, d.NeverSent, d.Untold)
+						}
+					}
+				}
+				b.list(d.Node{ID: "e9", State: d.Gone})
+				return n
+			}
+			before := sent()
+			for i := range 200 {
+				dl, ans := ask(fmt.Sprint(i))
+				if ans.Verb != d.Pull {
+					t.Fatalf("%+v", ans)
+				}
+				b.end(dl, s.Types[0].TargetTime/20, d.Fulfilled, c.filling)
+			}
+			if after := sent(); (after > 3*before) != c.learned {
+				t.Errorf("a cold node had %d in a window, %d before anything was known", after, before)
+			}
+		})
+	}
+}
