--- a/word/word.go
+++ b/dissemination/dissemination.go
@@ -1,8 +1,8 @@
-// Package word decides what directors tell each other of the command channel's word, and what one makes of what it is told: those
+// Package dissemination decides what directors tell each other of the command channel's word, and what one makes of what it is told: those
 // that can't reach the channel go on hearing through those that can. What binds careful (a purge, a drain, a node that is gone) may
-// come from another director; what lets go comes from the channel alone. It does no I/O, and the clock is given. docs/word.md has
+// come from another director; what lets go comes from the channel alone. It does no I/O, and the clock is given. docs/dissemination.md has
 // the argument why nothing that comes twice, late or from one that is itself behind undoes anything.
-package word
+package dissemination
 
 import (
 	"cmp"
--- a/word/word_test.go
+++ b/dissemination/dissemination_test.go
@@ -1,4 +1,4 @@
-package word
+package dissemination
 
 import (
 	"fmt"
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -21,23 +21,23 @@
 	"github.com/hashicorp/memberlist"
 
 	"tallyproxy/director"
+	"tallyproxy/dissemination"
 	"tallyproxy/follow"
 	"tallyproxy/internal/config"
 	"tallyproxy/manners"
 	"tallyproxy/peers"
-	"tallyproxy/word"
 )
 
 // message is what one director says to another; one of the seven is there.
 type message struct {
-	From   string          `json:"f"`
-	Ask    *peers.Ask      `json:"a,omitempty"`
-	Grant  *peers.Grant    `json:"g,omitempty"`
-	Hint   *peers.Hint     `json:"h,omitempty"`
-	Words  []word.Item     `json:"w,omitempty"`
-	Follow *follow.Message `json:"o,omitempty"`
-	Query  director.Micros `json:"q,omitempty"` // what is in force? The asker's time, which the answer gives back
-	Reply  *reply          `json:"r,omitempty"`
+	From   string               `json:"f"`
+	Ask    *peers.Ask           `json:"a,omitempty"`
+	Grant  *peers.Grant         `json:"g,omitempty"`
+	Hint   *peers.Hint          `json:"h,omitempty"`
+	Words  []dissemination.Item `json:"w,omitempty"`
+	Follow *follow.Message      `json:"o,omitempty"`
+	Query  director.Micros      `json:"q,omitempty"` // what is in force? The asker's time, which the answer gives back
+	Reply  *reply               `json:"r,omitempty"`
 }
 
 // reply tells what was in force after a query had been put.
@@ -98,7 +98,7 @@
 type Ears struct {
 	Question func(peers.Hint)                                         // a hint is worth a question to its node
 	Heard    func(node string) director.Micros                        // when a node last answered here
-	Word     func(from string, i word.Item)                           // what the channel told another
+	Word     func(from string, i dissemination.Item)                  // what the channel told another
 	InForce  func() (m Meeting, vouches bool)                         // what one that has just come should hear, and whether it can go by that
 	Met      func(from string, m Meeting)                             // one told what was in force at some time: it may have lain in a socket since
 	Doubts   func() bool                                              // whether one is wanted who tells what is in force
@@ -567,7 +567,7 @@
 }
 
 // Repeat tells one other what the channel told.
-func (t *Talk) Repeat(to string, all []word.Item) {
+func (t *Talk) Repeat(to string, all []dissemination.Item) {
 	for some := range slices.Chunk(all, inPacket) {
 		t.put(envelope{to: to, m: message{From: t.s.Name, Words: some}})
 	}
@@ -596,7 +596,7 @@
 const inPacket = 12 // words; a purge of many groups is told as many words at once
 
 // Pass has the others hear what the channel told: some of them at once, others each time, and all with what goes round anyway.
-func (t *Talk) Pass(all []word.Item) {
+func (t *Talk) Pass(all []dissemination.Item) {
 	if t == nil {
 		return
 	}
@@ -605,7 +605,7 @@
 	}
 }
 
-func (t *Talk) pass(some []word.Item) {
+func (t *Talk) pass(some []dissemination.Item) {
 	raw, err := json.Marshal(message{From: t.s.Name, Words: some})
 	if err != nil {
 		return
@@ -725,10 +725,10 @@
 
 // Meeting is what two tell each other when one of them joins.
 type Meeting struct {
-	From    string          `json:"f"`
-	Age     director.Micros `json:"a"` // of the newest word of the channel
-	Words   []word.Item     `json:"w"`
-	Beliefs []peers.Hint    `json:"b,omitempty"` // of nodes that are not well
+	From    string               `json:"f"`
+	Age     director.Micros      `json:"a"` // of the newest word of the channel
+	Words   []dissemination.Item `json:"w"`
+	Beliefs []peers.Hint         `json:"b,omitempty"` // of nodes that are not well
 }
 
 // LocalState is what goes along with whole lists: where one joins, what is in force.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/dissemination"
 	"tallyproxy/internal/config"
 	"tallyproxy/peers"
-	"tallyproxy/word"
 )
 
 func free(t *testing.T) string {
@@ -34,9 +34,9 @@
 			return director.Second*100 + director.Micros(time.Since(begun)/time.Microsecond)
 		},
 		Ears{Question: func(h peers.Hint) { hints <- h }, Heard: func(string) director.Micros { return 0 },
-			Word: func(from string, i word.Item) { hints <- peers.Hint{Node: from + " " + i.Object} },
+			Word: func(from string, i dissemination.Item) { hints <- peers.Hint{Node: from + " " + i.Object} },
 			InForce: func() (Meeting, bool) {
-				return Meeting{Age: director.Micros(i+1) * director.Second, Words: []word.Item{{Object: fmt.Sprint("of n", i), At: 1}}}, true
+				return Meeting{Age: director.Micros(i+1) * director.Second, Words: []dissemination.Item{{Object: fmt.Sprint("of n", i), At: 1}}}, true
 			},
 			Met: func(from string, m Meeting) {
 				if len(m.Words) != 1 || m.Words[0].Object != "of "+from || m.Age < director.Second {
@@ -96,7 +96,7 @@
 			t.Errorf("heard %+v", h)
 		}
 	}
-	talks[1].Pass([]word.Item{{Object: "o", At: 1}})
+	talks[1].Pass([]dissemination.Item{{Object: "o", At: 1}})
 	for range 4 { // to each at once, and again with what goes round
 		if h := <-hints; h.Node != "n1 o" {
 			t.Errorf("heard %+v", h)
@@ -216,7 +216,7 @@
 		}, InForce: func() (Meeting, bool) { return Meeting{}, false }, Age: func() director.Micros { return 0 }})
 	begin(0, "", []string{door}, Ears{InForce: func() (m Meeting, vouches bool) {
 		if known.Load() {
-			m.Words = []word.Item{{Object: "o", At: 1}}
+			m.Words = []dissemination.Item{{Object: "o", At: 1}}
 		}
 		said <- true
 		return m, true
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/dissemination"
 	"tallyproxy/follow"
 	"tallyproxy/internal/config"
 	"tallyproxy/internal/peering"
@@ -27,7 +28,6 @@
 	"tallyproxy/internal/state"
 	"tallyproxy/manners"
 	"tallyproxy/peers"
-	"tallyproxy/word"
 )
 
 // Spec says what stands on the rig.
@@ -622,7 +622,7 @@
 			t.Say(from, follow.Message{Answer: &follow.Answer{Number: -5, Age: -7, Sum: "\x00"}})
 			t.Say(from, follow.Message{List: rows})
 			t.Say(from, follow.Message{Want: "?"})
-			t.Repeat(from, []word.Item{{Node: "box-0", Age: -1}, {Node: "\x00", Object: "x", At: 1}, {Group: -9, At: 1}, {}})
+			t.Repeat(from, []dissemination.Item{{Node: "box-0", Age: -1}, {Node: "\x00", Object: "x", At: 1}, {Group: -9, At: 1}, {}})
 		case m.Want != "":
 			t.Say(from, follow.Message{List: rows})
 		}
--- a/internal/serve/gossip.go
+++ b/internal/serve/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/dissemination"
 	"tallyproxy/follow"
 	"tallyproxy/internal/back"
 	"tallyproxy/internal/config"
@@ -16,7 +17,6 @@
 	"tallyproxy/logic"
 	"tallyproxy/peers"
 	"tallyproxy/pulse"
-	"tallyproxy/word"
 )
 
 // gossip joins the talk among directors to the decisions: parts one way, hints both ways. Without peers it does nothing.
@@ -31,10 +31,10 @@
 	beliefs atomic.Pointer[[]peers.Hint]               // of those that are not well, for who starts
 	done    chan struct{}
 
-	mu      sync.Mutex // of the book, and what is avoided
-	book    *word.Book // nil without peers
-	ears    *hearing   // nil without peers
-	avoided []string   // by the operator's file
+	mu      sync.Mutex          // of the book, and what is avoided
+	book    *dissemination.Book // nil without peers
+	ears    *hearing            // nil without peers
+	avoided []string            // by the operator's file
 	words   chan heardWord
 	own     *heart
 	channel *feed.Feed
@@ -46,7 +46,7 @@
 // heardWord is what another said that the channel had told.
 type heardWord struct {
 	from string
-	word.Item
+	dissemination.Item
 	all bool // no word: all that its teller had when it was asked have come before
 }
 
@@ -67,9 +67,9 @@
 // What it knows is from files, which may be old: until its channel or another director has spoken it sends and serves nothing.
 func (g *gossip) keep(c config.Config, followers int, own *heart, channel *feed.Feed, known []feed.Event) {
 	s := c.Site.Settings
-	w := word.Derive(s)
+	w := dissemination.Derive(s)
 	g.own, g.channel, g.kept = own, channel, w.Kept
-	g.book = word.New(g.clock(), w)
+	g.book = dissemination.New(g.clock(), w)
 	own.Begin(own.Read())
 	g.took(known, g.clock()-2*g.kept) // what others hear of the channel is newer than a file
 	g.ears = newHearing(g, follow.Derive(c.Name, followers, len(c.Site.Zones), len(c.Site.Kinds), s))
@@ -105,16 +105,16 @@
 }
 
 // took books what was told at a time, and gives what is news.
-func (g *gossip) took(events []feed.Event, now director.Micros) (tell []word.Item) {
+func (g *gossip) took(events []feed.Event, now director.Micros) (tell []dissemination.Item) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, e := range events {
-		if i := (word.Item{Object: e.Object, Group: e.Group, At: e.At}); !e.Listed && e.At > 0 && g.book.Purged(now, i) {
+		if i := (dissemination.Item{Object: e.Object, Group: e.Group, At: e.At}); !e.Listed && e.At > 0 && g.book.Purged(now, i) {
 			tell = append(tell, i)
 		}
-		var rows []word.Row
+		var rows []dissemination.Row
 		for _, n := range e.Nodes {
-			rows = append(rows, word.Row{Node: n.ID, Started: n.Started, State: n.State})
+			rows = append(rows, dissemination.Row{Node: n.ID, Started: n.Started, State: n.State})
 		}
 		if e.Listed {
 			tell = append(tell, g.book.Listed(now, rows, e.Complete)...)
@@ -135,7 +135,7 @@
 
 // listen takes what others say that the channel told them.
 func (g *gossip) listen() {
-	var onward []word.Item
+	var onward []dissemination.Item
 	for {
 		if len(g.words) == 0 || len(onward) == words { // many come together, and go on together
 			g.talk.Load().Pass(onward)
@@ -239,7 +239,7 @@
 }
 
 // report is how old the channel's word is; nil without peers.
-func (g *gossip) report() *word.Report {
+func (g *gossip) report() *dissemination.Report {
 	if g.book == nil {
 		return nil
 	}
@@ -279,7 +279,7 @@
 		case g.asked <- h:
 		default:
 		}
-	}, Heard: g.lastHeard, Word: func(from string, i word.Item) {
+	}, Heard: g.lastHeard, Word: func(from string, i dissemination.Item) {
 		g.hears(heardWord{from, i, false})
 	}, InForce: g.inForce, Met: g.met, Doubts: g.doubting, Told: g.toldAll, Age: func() director.Micros {
 		g.mu.Lock()
@@ -340,7 +340,7 @@
 	if g.own.Doubted() {
 		g.warm(from, m.Beliefs)
 	}
-	return g.hears(heardWord{from, word.Item{}, true})
+	return g.hears(heardWord{from, dissemination.Item{}, true})
 }
 
 // mostBeliefs are handed to one that starts.
--- a/internal/serve/hearing.go
+++ b/internal/serve/hearing.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"tallyproxy/director"
+	"tallyproxy/dissemination"
 	"tallyproxy/follow"
 	"tallyproxy/internal/feed"
 	"tallyproxy/internal/peering"
-	"tallyproxy/word"
 )
 
 // hearing joins who follows the channel to the talk and to what is in force.
@@ -169,7 +169,7 @@
 }
 
 // recent is the sum of the purges of late, and what an asker may lack who knows others.
-func (h *hearing) recent(known *uint64) ([]word.Item, uint64) {
+func (h *hearing) recent(known *uint64) ([]dissemination.Item, uint64) {
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
 	now := h.g.clock()
