--- a/internal/lab/startsim.go
+++ b/internal/lab/startsim.go
@@ -9,9 +9,9 @@
 	"time"
 
 	d "tallyproxy/director"
-	"tallyproxy/follow"
 	"tallyproxy/internal/standin"
 	"tallyproxy/manners"
+	"tallyproxy/relays"
 )
 
 // startSim plays a fleet's calls of the command channel in simulated time, for fleets that no machine holds as processes: who calls and
@@ -34,7 +34,7 @@
 	told    d.Micros // when the last event came
 	waiting map[int]func()
 	calls   []standin.Call
-	rows    []follow.Row // of the version at hand
+	rows    []relays.Row // of the version at hand
 	of      int
 	alone   bool
 	times   manners.Times
@@ -45,7 +45,7 @@
 type simDirector struct {
 	name    string
 	zone    int
-	book    *follow.Book
+	book    *relays.Book
 	caller  *manners.Caller
 	cursor  int      // events that the own channel has told
 	list    int      // version of the list in force
@@ -115,11 +115,11 @@
 func (s *startSim) delay() d.Micros { return 100 + d.Micros(s.r.Int64N(2000)) }
 
 func (s *startSim) start(i int, dir *simDirector, settings d.Settings) {
-	f := follow.Derive(dir.name, 3, 8, 4, settings)
+	f := relays.Derive(dir.name, 3, 8, 4, settings)
 	dir.caller = manners.New(s.times, manners.Seed(1, dir.name))
 	dir.pause, dir.wait = dir.caller.First()
 	dir.pause += s.now
-	if dir.book = follow.New(s.now, f); !s.alone {
+	if dir.book = relays.New(s.now, f); !s.alone {
 		s.after(d.Micros(s.r.Int64N(int64(400*d.Second/1000))), func() { dir.met = true; s.met[dir.zone]++ }) // lists of who is there come
 		s.tick(dir, f.Every/4)
 	}
@@ -153,7 +153,7 @@
 		if to.book == nil {
 			return
 		}
-		a, version, known := to.book.Asked(s.now, follow.Ask{Number: number}, 0), to.list, to.known
+		a, version, known := to.book.Asked(s.now, relays.Ask{Number: number}, 0), to.list, to.known
 		s.after(s.delay(), func() {
 			s.hear(from, known) // purges that it lacks come along
 			if want := from.book.Answered(s.now, to.name, a); want != "" {
@@ -168,9 +168,9 @@
 }
 
 // version is a list of the channel's.
-func (s *startSim) version(n int) []follow.Row {
+func (s *startSim) version(n int) []relays.Row {
 	if s.of != n {
-		s.of, s.rows = n, []follow.Row{{ID: fmt.Sprint("list-", n)}}
+		s.of, s.rows = n, []relays.Row{{ID: fmt.Sprint("list-", n)}}
 	}
 	return s.rows
 }
@@ -228,7 +228,7 @@
 			fresh := news > dir.cursor
 			dir.cursor = news
 			s.take(dir, version)
-			dir.book.Own(s.now, follow.Sum(s.version(version)), began, fresh)
+			dir.book.Own(s.now, relays.Sum(s.version(version)), began, fresh)
 			if s.hear(dir, news); fresh {
 				end(manners.News)
 			} else {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -22,10 +22,10 @@
 
 	"tallyproxy/director"
 	"tallyproxy/dissemination"
-	"tallyproxy/follow"
 	"tallyproxy/internal/config"
 	"tallyproxy/manners"
 	"tallyproxy/peers"
+	"tallyproxy/relays"
 )
 
 // message is what one director says to another; one of the seven is there.
@@ -35,7 +35,7 @@
 	Grant  *peers.Grant         `json:"g,omitempty"`
 	Hint   *peers.Hint          `json:"h,omitempty"`
 	Words  []dissemination.Item `json:"w,omitempty"`
-	Follow *follow.Message      `json:"o,omitempty"`
+	Follow *relays.Message      `json:"o,omitempty"`
 	Query  director.Micros      `json:"q,omitempty"` // what is in force? The asker's time, which the answer gives back
 	Reply  *reply               `json:"r,omitempty"`
 }
@@ -104,7 +104,7 @@
 	Doubts   func() bool                                              // whether one is wanted who tells what is in force
 	Told     func(from string, asked director.Micros, m Meeting) bool // one did, after it was asked at a time; true where that will do
 	Age      func() director.Micros                                   // how old the newest word of the own channel is
-	Follow   func(from string, m follow.Message)                      // who follows the channel, and what those tell
+	Follow   func(from string, m relays.Message)                      // who follows the channel, and what those tell
 }
 
 // aged is how old another's newest word of the channel was, when it said so.
@@ -562,7 +562,7 @@
 }
 
 // Say says something to one other; a list goes over a connection. What finds no room is dropped, and asked for again.
-func (t *Talk) Say(to string, m follow.Message) {
+func (t *Talk) Say(to string, m relays.Message) {
 	t.put(envelope{to, message{From: t.s.Name, Follow: &m}, m.List != nil})
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -21,13 +21,13 @@
 
 	"tallyproxy/director"
 	"tallyproxy/dissemination"
-	"tallyproxy/follow"
 	"tallyproxy/internal/config"
 	"tallyproxy/internal/peering"
 	"tallyproxy/internal/standin"
 	"tallyproxy/internal/state"
 	"tallyproxy/manners"
 	"tallyproxy/peers"
+	"tallyproxy/relays"
 )
 
 // Spec says what stands on the rig.
@@ -610,21 +610,21 @@
 		}
 	}
 	var talk atomic.Pointer[peering.Talk]
-	rows := []follow.Row{}
+	rows := []relays.Row{}
 	for i := range r.Boxes {
-		rows = append(rows, follow.Row{ID: fmt.Sprint("box-", i), Addr: "127.0.0.1:9", Zone: 1, Weight: 1})
+		rows = append(rows, relays.Row{ID: fmt.Sprint("box-", i), Addr: "127.0.0.1:9", Zone: 1, Weight: 1})
 	}
-	hear := func(from string, m follow.Message) {
+	hear := func(from string, m relays.Message) {
 		switch t := talk.Load(); {
 		case t == nil:
 		case m.Ask != nil:
-			t.Say(from, follow.Message{Answer: &follow.Answer{Number: m.Ask.Number, Sum: follow.Sum(rows)}})
-			t.Say(from, follow.Message{Answer: &follow.Answer{Number: -5, Age: -7, Sum: "\x00"}})
-			t.Say(from, follow.Message{List: rows})
-			t.Say(from, follow.Message{Want: "?"})
+			t.Say(from, relays.Message{Answer: &relays.Answer{Number: m.Ask.Number, Sum: relays.Sum(rows)}})
+			t.Say(from, relays.Message{Answer: &relays.Answer{Number: -5, Age: -7, Sum: "\x00"}})
+			t.Say(from, relays.Message{List: rows})
+			t.Say(from, relays.Message{Want: "?"})
 			t.Repeat(from, []dissemination.Item{{Node: "box-0", Age: -1}, {Node: "\x00", Object: "x", At: 1}, {Group: -9, At: 1}, {}})
 		case m.Want != "":
-			t.Say(from, follow.Message{List: rows})
+			t.Say(from, relays.Message{List: rows})
 		}
 	}
 	t := r.join(name, peering.Ears{Follow: hear, Question: func(peers.Hint) {}, Heard: func(string) director.Micros { return 0 }}, func(*peers.Settings) {})
--- a/internal/serve/gossip.go
+++ b/internal/serve/gossip.go
@@ -9,7 +9,6 @@
 
 	"tallyproxy/director"
 	"tallyproxy/dissemination"
-	"tallyproxy/follow"
 	"tallyproxy/internal/back"
 	"tallyproxy/internal/config"
 	"tallyproxy/internal/feed"
@@ -17,6 +16,7 @@
 	"tallyproxy/logic"
 	"tallyproxy/peers"
 	"tallyproxy/pulse"
+	"tallyproxy/relays"
 )
 
 // gossip joins the talk among directors to the decisions: parts one way, hints both ways. Without peers it does nothing.
@@ -72,7 +72,7 @@
 	g.book = dissemination.New(g.clock(), w)
 	own.Begin(own.Read())
 	g.took(known, g.clock()-2*g.kept) // what others hear of the channel is newer than a file
-	g.ears = newHearing(g, follow.Derive(c.Name, followers, len(c.Site.Zones), len(c.Site.Kinds), s))
+	g.ears = newHearing(g, relays.Derive(c.Name, followers, len(c.Site.Zones), len(c.Site.Kinds), s))
 	g.ears.fold(known)
 	channel.Hold(g.ears.may)
 }
--- a/internal/serve/hearing.go
+++ b/internal/serve/hearing.go
@@ -7,9 +7,9 @@
 
 	"tallyproxy/director"
 	"tallyproxy/dissemination"
-	"tallyproxy/follow"
 	"tallyproxy/internal/feed"
 	"tallyproxy/internal/peering"
+	"tallyproxy/relays"
 )
 
 // hearing joins who follows the channel to the talk and to what is in force.
@@ -20,10 +20,10 @@
 
 	force sync.Mutex // held while a list is put in force: none may come after a newer one
 	mu    sync.Mutex // of what follows
-	book  *follow.Book
-	own   map[string]follow.Row // the list as the own channel has told it,
+	book  *relays.Book
+	own   map[string]relays.Row // the list as the own channel has told it,
 	sum   string                // and its sum
-	list  map[string]follow.Row // as it is in force
+	list  map[string]relays.Row // as it is in force
 	news  bool                  // the own channel has told of nodes, in the call that is about to be booked
 	calls bool
 	ticks int
@@ -33,7 +33,7 @@
 // said is what another director says.
 type said struct {
 	from string
-	follow.Message
+	relays.Message
 }
 
 // looks is how many ticks there are to a look at who is there.
@@ -41,9 +41,9 @@
 
 const sayings = 256 // that wait to be taken; more are dropped, and said again
 
-func newHearing(g *gossip, s follow.Settings) *hearing {
-	return &hearing{g: g, every: span(s.Every) / 2, says: make(chan said, sayings), book: follow.New(g.clock(), s), began: g.clock(),
-		own: map[string]follow.Row{}, sum: follow.Sum(nil), list: map[string]follow.Row{}}
+func newHearing(g *gossip, s relays.Settings) *hearing {
+	return &hearing{g: g, every: span(s.Every) / 2, says: make(chan said, sayings), book: relays.New(g.clock(), s), began: g.clock(),
+		own: map[string]relays.Row{}, sum: relays.Sum(nil), list: map[string]relays.Row{}}
 }
 
 // may says whether to ask the channel now. One that wakes from a pause asks whoever else does.
@@ -73,25 +73,25 @@
 			continue
 		}
 		listed = true
-		rows := make([]follow.Row, len(e.Nodes))
+		rows := make([]relays.Row, len(e.Nodes))
 		for i, n := range e.Nodes {
-			rows[i] = follow.Row{ID: n.ID, Addr: n.Addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, Weight: n.Weight, Started: n.Started,
+			rows[i] = relays.Row{ID: n.ID, Addr: n.Addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, Weight: n.Weight, Started: n.Started,
 				State: n.State}
 		}
-		follow.Fold(h.own, rows, e.Complete)
+		relays.Fold(h.own, rows, e.Complete)
 	}
 	if h.news = h.news || listed; listed {
-		rows := follow.Rows(h.own)
-		h.sum = follow.Sum(rows)
+		rows := relays.Rows(h.own)
+		h.sum = relays.Sum(rows)
 		out = append(out, h.change(rows)...)
 	}
 	return out
 }
 
 // change books a list that is to be in force, and gives the event that makes it so; none where it is. The caller holds the lock.
-func (h *hearing) change(rows []follow.Row) []feed.Event {
-	diff := follow.Diff(h.list, rows)
-	if follow.Fold(h.list, rows, true); len(diff) == 0 {
+func (h *hearing) change(rows []relays.Row) []feed.Event {
+	diff := relays.Diff(h.list, rows)
+	if relays.Fold(h.list, rows, true); len(diff) == 0 {
 		return nil
 	}
 	e := feed.Event{Listed: true, Group: director.All}
@@ -111,7 +111,7 @@
 }
 
 // report is who follows the channel as this one sees it; nil without peers.
-func (h *hearing) report() *follow.Report {
+func (h *hearing) report() *relays.Report {
 	if h == nil {
 		return nil
 	}
@@ -122,7 +122,7 @@
 }
 
 // hear takes what another says, where there is room.
-func (h *hearing) hear(from string, m follow.Message) {
+func (h *hearing) hear(from string, m relays.Message) {
 	select {
 	case h.says <- said{from, m}:
 	default:
@@ -164,7 +164,7 @@
 	}
 	_, words := h.recent(nil)
 	for _, to := range ask {
-		talk.Say(to, follow.Message{Ask: &follow.Ask{Number: now, Words: words}})
+		talk.Say(to, relays.Message{Ask: &relays.Ask{Number: now, Words: words}})
 	}
 }
 
@@ -189,7 +189,7 @@
 		lacks, words := h.recent(&s.Ask.Words)
 		a := h.book.Asked(now, *s.Ask, words)
 		h.mu.Unlock()
-		talk.Say(s.from, follow.Message{Answer: &a})
+		talk.Say(s.from, relays.Message{Answer: &a})
 		talk.Repeat(s.from, lacks)
 	case s.Answer != nil:
 		h.mu.Lock()
@@ -197,7 +197,7 @@
 		until, _ := h.book.Until()
 		h.mu.Unlock()
 		if want != "" {
-			talk.Say(s.from, follow.Message{Want: want})
+			talk.Say(s.from, relays.Message{Want: want})
 			return
 		}
 		if until > h.began { // else no list is known to have held since this process began
@@ -205,13 +205,13 @@
 		}
 	case s.Want != "":
 		h.mu.Lock()
-		rows, sum := follow.Rows(h.list), ""
+		rows, sum := relays.Rows(h.list), ""
 		if _, sum = h.book.Until(); sum != s.Want {
 			rows = nil // it has changed since; another will be wanted
 		}
 		h.mu.Unlock()
 		if rows != nil {
-			talk.Say(s.from, follow.Message{List: rows})
+			talk.Say(s.from, relays.Message{List: rows})
 		}
 	case s.List != nil:
 		h.force.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"tallyproxy/dissemination"
-	"tallyproxy/follow"
 	"tallyproxy/logic"
 	"tallyproxy/peers"
+	"tallyproxy/relays"
 	"tallyproxy/storm"
 )
 
@@ -46,7 +46,7 @@
 	Storm      storm.Report          `json:"storm"`
 	Beliefs    []logic.View          `json:"beliefs"`
 	Peers      *peers.Report         `json:"peers,omitempty"`  // what it makes of other directors; none where it knows of none
-	Follow     *follow.Report        `json:"follow,omitempty"` // who asks the channel for whom
+	Follow     *relays.Report        `json:"follow,omitempty"` // who asks the channel for whom
 	Word       *dissemination.Report `json:"word,omitempty"`   // and how old the newest word of the channel is, here and there
 }
 
--- a/follow/follow.go
+++ b/relays/relays.go
@@ -1,8 +1,8 @@
-// Package follow decides which of the directors that know each other ask the command channel, and what the others make of what they
+// Package relays decides which of the directors that know each other ask the command channel, and what the others make of what they
 // are told in its place. A few of a location, by hash out of those that are there, follow the channel; the others hear two of them, and
-// take a list from them only where both tell the same one. It does no I/O, and the clock is given. docs/follow.md has the argument why
+// take a list from them only where both tell the same one. It does no I/O, and the clock is given. docs/relays.md has the argument why
 // what comes twice, late or from one that is itself behind undoes nothing.
-package follow
+package relays
 
 import (
 	"cmp"
--- a/follow/follow_test.go
+++ b/relays/relays_test.go
@@ -1,4 +1,4 @@
-package follow
+package relays
 
 import (
 	"fmt"
