Review: the answer's sum of purges is gone, what another tells is heeded in one place

Need: left relays.Answer.Words, which nobody reads any more, its argument of Asked, and a second result of hearing.recent; met and toldAll queued words and warmed the module in two copies. Both go through heed now. One point differs: where the queue is full in the middle of an answer, the rest of its words is offered too; the answer is refused as before.

Tests keep their assertions; calls of Asked lose the argument.

--- a/internal/lab/startsim.go
+++ b/internal/lab/startsim.go
@@ -153,7 +153,7 @@
 		if to.book == nil {
 			return
 		}
-		a, version, known := to.book.Asked(s.now, relays.Ask{Number: number}, 0), to.list, to.known
+		a, version, known := to.book.Asked(s.now, relays.Ask{Number: number}), to.list, to.known
 		s.after(s.delay(), func() {
 			s.hear(from, known) // purges that it lacks come along
 			if want := from.book.Answered(s.now, to.name, a); want != "" {
--- a/internal/serve/gossip.go
+++ b/internal/serve/gossip.go
@@ -311,13 +311,18 @@
 }
 
 // met takes what another told as the two met. What makes careful binds, but it is no reason to be careful no longer.
-func (g *gossip) met(from string, m peering.Meeting) {
+func (g *gossip) met(from string, m peering.Meeting) { g.heed(from, m) }
+
+// heed has what another told bind careful; false where there was no room for all of it.
+func (g *gossip) heed(from string, m peering.Meeting) bool {
+	all := true
 	for _, i := range m.Words {
-		g.hears(heardWord{from, i, false})
+		all = g.hears(heardWord{from, i, false}) && all
 	}
 	if g.own.Doubted() { // it has just started
 		g.warm(from, m.Beliefs)
 	}
+	return all
 }
 
 // doubting says whether another is wanted who tells what is in force. After a jump of this one's time that would be nothing.
@@ -329,18 +334,7 @@
 	g.mu.Lock()
 	vouched := g.book.Vouched(took, m.Age)
 	g.mu.Unlock()
-	if !vouched {
-		return false
-	}
-	for _, i := range m.Words {
-		if !g.hears(heardWord{from, i, false}) {
-			return false
-		}
-	}
-	if g.own.Doubted() {
-		g.warm(from, m.Beliefs)
-	}
-	return g.hears(heardWord{from, dissemination.Item{}, true})
+	return vouched && g.heed(from, m) && g.hears(heardWord{from, dissemination.Item{}, true})
 }
 
 // mostBeliefs are handed to one that starts.
--- a/internal/serve/hearing.go
+++ b/internal/serve/hearing.go
@@ -162,22 +162,23 @@
 	if len(ask) == 0 {
 		return
 	}
-	_, words := h.recent(nil)
+	h.g.mu.Lock()
+	_, words := h.g.book.Recent(now)
+	h.g.mu.Unlock()
 	for _, to := range ask {
 		talk.Say(to, relays.Message{Ask: &relays.Ask{Number: now, Words: words}})
 	}
 }
 
-// recent is the sum of the purges of late, and what an asker may lack who knows others.
-func (h *hearing) recent(known *uint64) ([]dissemination.Item, uint64) {
+// lacks is what an asker may lack who knows other purges of late, by their sum.
+func (h *hearing) lacks(known uint64) []dissemination.Item {
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
 	now := h.g.clock()
-	_, sum := h.g.book.Recent(now)
-	if known == nil || *known == sum {
-		return nil, sum
+	if _, sum := h.g.book.Recent(now); known == sum {
+		return nil
 	}
-	return h.g.book.Lately(now), sum
+	return h.g.book.Lately(now)
 }
 
 // take takes what another has said.
@@ -186,11 +187,10 @@
 	switch {
 	case s.Ask != nil:
 		h.mu.Lock()
-		lacks, words := h.recent(&s.Ask.Words)
-		a := h.book.Asked(now, *s.Ask, words)
+		a := h.book.Asked(now, *s.Ask)
 		h.mu.Unlock()
 		talk.Say(s.from, relays.Message{Answer: &a})
-		talk.Repeat(s.from, lacks)
+		talk.Repeat(s.from, h.lacks(s.Ask.Words))
 	case s.Answer != nil:
 		h.mu.Lock()
 		want := h.book.Answered(now, s.from, *s.Answer)
--- a/relays/relays.go
+++ b/relays/relays.go
@@ -83,7 +83,6 @@
 	Number d.Micros `json:"n"`
 	Age    d.Micros `json:"a"`
 	Sum    string   `json:"s"` // of the list
-	Words  uint64   `json:"w"` // of the purges of late that it knows
 }
 
 // Message is what one director says to another of it; one of the four is there.
@@ -280,14 +279,14 @@
 func (b *Book) behind(now d.Micros, s *source) bool { return s.told == 0 || now-s.told > b.s.Stale }
 
 // Asked takes another's question, and gives the answer for it. Who is asked follows for a while, where it is among the next to.
-func (b *Book) Asked(now d.Micros, a Ask, words uint64) Answer {
+func (b *Book) Asked(now d.Micros, a Ask) Answer {
 	if b.mine < deputies*b.s.Followers {
 		b.by = now
 	}
 	if b.list == "" {
-		return Answer{Number: a.Number, Age: -1, Words: words}
+		return Answer{Number: a.Number, Age: -1}
 	}
-	return Answer{a.Number, max(0, now-b.began), b.list, words}
+	return Answer{a.Number, max(0, now-b.began), b.list}
 }
 
 // Answered takes a source's answer. Want is the sum of a list that two sources have told and that is not in force here: it is to be
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -57,7 +57,7 @@
 			b := f.books[name]
 			for _, to := range b.Tick(f.now) {
 				if !f.down[to] && to != name {
-					b.Answered(f.now, to, f.books[to].Asked(f.now, Ask{Number: f.now}, 0))
+					b.Answered(f.now, to, f.books[to].Asked(f.now, Ask{Number: f.now}))
 				}
 			}
 			if b.Calls(f.now) && f.now-f.called[name] >= 300*ms {
