rollout: an agent rests for a drawn time after a refused attempt

What callers saw: a change whose tool had died stayed undecided for ever, with all agents up and able to talk. Its directors took no other change until somebody ran `tallyctl resume`.

Cause: two agents whose turns come together propose with the same ballot number. Each promises itself the right first and refuses the other by that lease. Both are refused at the same moment, rested for the same Timeouts.Step and proposed together again; ranks part only first attempts.

--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -72,8 +72,9 @@
 	wave           int
 	stopReason     string // why no further wave is begun; empty while one may
 
-	undecided []*Entry // of earlier holders, still to be completed
-	result    Result
+	undecided     []*Entry // of earlier holders, still to be completed
+	lostToAnother bool     // another holder has, or took over, the right to change
+	result        Result
 }
 
 // NewCoordinator makes a coordinator that proposes as holder. The number must be higher than that of any ballot the holder has used
--- a/rollout/recovery.go
+++ b/rollout/recovery.go
@@ -34,7 +34,8 @@
 // would; it begins no wave that no one has begun, since a tool may have stopped because of a health check.
 //
 // Agents take turns, in an order that is shuffled by the ID of the change: the first that is up tries first, the second some time
-// later, and so on. Two that try at once could each keep a majority from the other.
+// later, and so on. Two that try at once all the same can each keep a majority from the other. Each then rests for a time that it draws
+// from its own seed, so that they do not try at once again (see retryBackoff).
 type Recovery struct {
 	agent        *Agent
 	agents       []string // all of the fleet, sorted
@@ -43,6 +44,7 @@
 	queryTurn    int               // index in agents of the one that was asked last
 	coordinator  *Coordinator      // nil while this agent does not hold or ask for the right to change
 	highest      int64             // ballot number heard of
+	backoff      retryBackoff      // of attempts that were refused
 	backoffUntil policy.Micros     // it does not try again before
 }
 
@@ -56,7 +58,10 @@
 // NewRecovery makes the recovery of an agent among all agents of the fleet. Changes that are in doubt at the start were left by an
 // earlier run and are asked about at once.
 func NewRecovery(now policy.Micros, a *Agent, agents []string, timeouts Timeouts) *Recovery {
-	r := &Recovery{agent: a, agents: slices.Sorted(slices.Values(agents)), timeouts: timeouts, queries: map[string]*query{}}
+	r := &Recovery{
+		agent: a, agents: slices.Sorted(slices.Values(agents)), timeouts: timeouts, queries: map[string]*query{},
+		backoff: newRetryBackoff(a.Name, len(agents), timeouts.Step),
+	}
 	for _, id := range a.InDoubt() {
 		r.queries[id] = &query{inDoubtSince: now, next: now, interval: timeouts.Resend}
 	}
@@ -172,8 +177,10 @@
 		envelopes = append(envelopes, r.coordinator.HandleReply(now, envelope.To, reply)...)
 	}
 	if r.coordinator.Step() == StepDone {
-		if r.coordinator.Result().RefusalReason != "" { // leave the other agents' turns between two attempts
-			r.backoffUntil = now + r.timeouts.Step
+		if r.coordinator.Result().RefusalReason != "" {
+			r.backoffUntil = now + r.backoff.next(r.coordinator.lostToAnother)
+		} else {
+			r.backoff.reset()
 		}
 		r.coordinator = nil
 	}
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -48,6 +48,7 @@
 	if c.denies == 0 {
 		return
 	}
+	c.lostToAnother = true
 	var highest Reply
 	for _, agent := range slices.Sorted(maps.Keys(c.replies)) {
 		if reply := c.replies[agent]; !reply.OK && (highest.Promised.Less(reply.Promised) || highest.Reason == "") {
@@ -256,6 +257,7 @@
 
 // query asks what became of the coordinator's own change once another holder has the right to change: that holder completes it.
 func (c *Coordinator) query(now policy.Micros) []Envelope {
+	c.lostToAnother = true
 	if c.result.ID == "" || c.current.ID != c.result.ID { // it was another's change; the own one was not begun
 		return c.finish(now, "taken over by another while an earlier change was being settled")
 	}
