rollout: turns go on where a refused recovery gave the right back

What callers saw, during a roll of the agents: a change left by its tool could stay undecided although one agent of the new version was there to break the tie of those of the version before.

Cause: isDue counted turns from the end of every lease, also of one that a refused recovery gave back after milliseconds. Agents that refused each other every 5 s so kept any turn later than 5 s (rank 10 and up) from ever coming.

Evidence: a trace of 20 agents, 19 of them with the fixed rest: ten tie every 5.05 s; the other ten promise one of them the right each time, are given it back 20 ms later and count their ranks anew.

Change: Agent notes that its lease was released; Recovery then keeps the time that turns count from.

--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -18,10 +18,11 @@
 	checksum    func(script string) string
 
 	// The lease is not stored: after a restart the holder has a whole lease again.
-	defaultLease policy.Micros // for a ballot that is first seen in a Prepare or Accept
-	leaseEnd     policy.Micros // of the promised ballot
-	promisedAt   policy.Micros
-	dirty        bool
+	defaultLease  policy.Micros // for a ballot that is first seen in a Prepare or Accept
+	leaseEnd      policy.Micros // of the promised ballot
+	leaseReleased bool          // by its holder, before it expired
+	promisedAt    policy.Micros
+	dirty         bool
 }
 
 // NewAgent makes an agent of its stored state; at the first start that has only ActiveScripts. The lease is that of the fleet's
@@ -56,11 +57,11 @@
 		reply.OK, reply.Reason = a.promise(now, m)
 	case Renew:
 		if reply.OK = m.Ballot == a.State.Promised; reply.OK {
-			a.leaseEnd = now + m.Lease
+			a.leaseEnd, a.leaseReleased = now+m.Lease, false
 		}
 	case Release:
 		if reply.OK = m.Ballot == a.State.Promised; reply.OK {
-			a.leaseEnd = now
+			a.leaseEnd, a.leaseReleased = now, true
 		}
 	case Prepare:
 		reply.OK, reply.Reason = a.prepare(now, m)
@@ -126,7 +127,7 @@
 	default:
 		a.State.Promised, a.dirty, a.promisedAt = m.Ballot, true, now
 	}
-	a.leaseEnd = now + m.Lease
+	a.leaseEnd, a.leaseReleased = now+m.Lease, false
 	return true, ""
 }
 
@@ -137,7 +138,8 @@
 		return true, fmt.Sprintf("taken over by %s", a.State.Promised.Holder)
 	}
 	if a.State.Promised.Less(m.Ballot) {
-		a.State.Promised, a.dirty, a.promisedAt, a.leaseEnd = m.Ballot, true, now, now+a.defaultLease
+		a.State.Promised, a.dirty, a.promisedAt = m.Ballot, true, now
+		a.leaseEnd, a.leaseReleased = now+a.defaultLease, false
 	}
 	return false, ""
 }
--- a/rollout/recovery.go
+++ b/rollout/recovery.go
@@ -44,6 +44,7 @@
 	queryTurn    int               // index in agents of the one that was asked last
 	coordinator  *Coordinator      // nil while this agent does not hold or ask for the right to change
 	highest      int64             // ballot number heard of
+	turnsSince   policy.Micros     // agents' turns count from then: the last holder fell silent, or a tool gave the right back
 	backoff      retryBackoff      // of attempts that were refused
 	backoffUntil policy.Micros     // it does not try again before
 }
@@ -149,13 +150,18 @@
 	if now < r.backoffUntil || now < r.agent.leaseEnd {
 		return false
 	}
+	// A recovery that gave the right back was refused, or is done. The other agents' turns go on: if they began anew, agents that refuse
+	// each other again and again would keep the turns of those after them from coming.
+	if !r.agent.leaseReleased || !IsRecoveryHolder(r.agent.State.Promised.Holder) {
+		r.turnsSince = r.agent.leaseEnd
+	}
 	for _, e := range r.agent.State.Entries {
 		q := r.queries[e.Change.ID]
 		if e.Outcome != Undecided || q == nil {
 			continue
 		}
 		// The operator's tool comes first: it resends, waits, and only then gives up.
-		silentSince := max(r.agent.leaseEnd, q.inDoubtSince+queryDelay*r.timeouts.Resend)
+		silentSince := max(r.turnsSince, q.inDoubtSince+queryDelay*r.timeouts.Resend)
 		if now >= silentSince+policy.Micros(r.rank(e.Change.ID))*r.timeouts.Resend {
 			return true
 		}
--- a/rollout/recovery_test.go
+++ b/rollout/recovery_test.go
@@ -155,7 +155,7 @@
 		}, maxToolTime},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			for _, agents := range []int{2, 3, 4, 5, 8} {
+			for _, agents := range []int{2, 3, 4, 5, 8, 20} {
 				var longest policy.Micros
 				for seed := range contestSeeds() {
 					c := newContest(seed, agents)
