downstream: input is read and answered before a half-close, also past the drain deadline

What callers saw: during a planned restart a request on an open connection had no answer; its connection ended, though the request had lain in the director's socket for over a millisecond.

Cause: mayHalfCloseLocked looked into the socket only until the drain's own deadline (Connect, 0.4 s). A connection that was busy until then, or on which a hanging node's request was answered at the drain deadline, was half-closed with input unread.

Change: what lies in the socket is always read first. Past the deadline a request is rejected at once, as before, and the connection rests soon; a client with 32 such rejections is no longer waited for.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -27,10 +27,11 @@
 	messageReceived bool      // a complete message came
 	suspect         bool      // set by MarkSuspect, until a request succeeds
 	badRequests     int       // requests that could not be used
+	lateRequests    int       // requests that came after the deadline of the drain
 	messageStart    time.Time // when an incomplete message, or the connection without any, began; zero for none
 	lastUsed        time.Time // when the last request came or was answered
 	retryNotBefore  time.Time // when the client may come back after a rejection
-	closeDeadline   time.Time // of the phase: when to half-close, or to close, at the latest
+	closeDeadline   time.Time // of the phase: from when on to reject requests, or when to close at the latest
 
 	// Owned by the reader.
 	received      []receivedRequest // not given to the handler yet
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -147,7 +147,7 @@
 		return unsent
 	}
 	c.setReadDeadline(time.Time{})
-	if c.mayHalfCloseLocked(now) {
+	if c.mayHalfCloseLocked() {
 		c.halfCloseLocked(now)
 	}
 	return true
@@ -199,7 +199,9 @@
 		return a, false
 	}
 	a.tagInUse, a.tooMany = c.pending[msg.tag], len(c.pending) >= maxPendingRequests
-	a.late = c.phase == phaseDraining && now.After(c.closeDeadline)
+	if a.late = c.phase == phaseDraining && now.After(c.closeDeadline); a.late {
+		c.lateRequests++
+	}
 	c.pending[msg.tag] = true
 	c.lastUsed, c.messageStart, c.messageReceived = now, time.Time{}, true
 	msg.request.ClientSuspect, msg.request.ClientHash = c.suspect, c.clientHash
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// drainLocked has the connection end once nothing is pending or queued. New requests are taken until it is half-closed, at the latest
-// within the Connect timeout. The caller holds c.mu.
+// drainLocked has the connection end once nothing is pending or queued. New requests are taken for the Connect timeout and rejected from
+// then on, until it is half-closed. The caller holds c.mu.
 func (c *Conn) drainLocked() {
 	if c.phase == phaseActive {
 		c.phase, c.closeDeadline = phaseDraining, time.Now().Add(c.server.timeouts.Connect.Duration())
@@ -78,13 +78,15 @@
 }
 
 // mayHalfCloseLocked reports whether a draining connection has nothing more to do: nothing is pending or queued, and no input that is
-// still acted on lies in the socket, unless the drain deadline has passed. The caller holds c.mu.
-func (c *Conn) mayHalfCloseLocked(now time.Time) bool {
+// still acted on lies in the socket. What lies there came before the end, so that it is read and answered, after the drain deadline
+// with a rejection. A client that goes on all the same, as often as it may have requests pending, is no longer waited for. The caller
+// holds c.mu.
+func (c *Conn) mayHalfCloseLocked() bool {
 	if c.phase == phaseActive || !c.idleLocked() {
 		return false
 	}
 	data, _ := socket.PendingInput(c.netConn)
-	return !data || c.input != inputAll || !now.Before(c.closeDeadline)
+	return !data || c.input != inputAll || c.lateRequests >= maxPendingRequests
 }
 
 // Close ends the connection at once. Responses that are queued are lost.
--- a/internal/downstream/shutdown_test.go
+++ b/internal/downstream/shutdown_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -72,6 +73,84 @@
 	}
 }
 
+// TestLateRequestDuringHalfClose guards against a request that is lost where it lies unread as a connection is half-closed after its drain
+// deadline: a busy connection, or one whose request was answered at the last moment.
+func TestLateRequestDuringHalfClose(t *testing.T) {
+	b, listener := startUnbuffered(t, 2, func(m *policy.Timeouts) { m.MaxDecisionAge, m.Connect = 0, policy.Second/1000 })
+	c := b.dial(t)
+	c.send(t, requestFrame("1"))
+	first := receive(t, b.requests)
+	c.send(t, requestFrame("2"))
+	eventually(t, "2 is not open", func() bool { return first.conn.IsPending(2) }) // the reader stands still with it
+	closeListener(t, listener)
+	done := b.shutdownAsync(t, first.conn)
+	eventually(t, "the deadline has not passed", func() bool {
+		first.conn.mu.Lock()
+		defer first.conn.mu.Unlock()
+		return first.conn.phase == phaseDraining && time.Now().After(first.conn.closeDeadline)
+	})
+	c.send(t, requestFrame("3")) // this lies in the socket
+	first.conn.Fail(1)
+	first.conn.Fail(2) // all that is known of is answered
+	for _, want := range []string{"1 500  ", "2 500  "} {
+		if got := c.answer(t); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	eventually(t, "an answer is on its way", func() bool {
+		first.conn.mu.Lock()
+		defer first.conn.mu.Unlock()
+		return first.conn.idleLocked()
+	})
+	first.conn.wakeReader() // as the writer does
+	receive(t, b.requests)
+	if got := c.answer(t); got != "3 503 later=70 " {
+		t.Errorf("got %q", got)
+	}
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("after the answers: %v, want the end", err)
+	}
+	c.close(t)
+	receive(t, done)
+}
+
+// TestEndlessRequestsDuringDrain guards against a client that never stops sending requests, and would so put the end of its connection off.
+func TestEndlessRequestsDuringDrain(t *testing.T) {
+	b := startServer(t, 2, 64, 10*time.Second, func(m *policy.Timeouts) { m.Connect = policy.Second / 1000 })
+	c := b.dial(t)
+	c.send(t, requestFrame("1"))
+	conn := b.nextConn(t, 1)
+	done := b.shutdownAsync(t, conn)
+	stop := make(chan struct{})
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for tag := 2; ; tag++ {
+			select {
+			case <-stop:
+				return
+			default:
+				c.trySend(requestFrame(strconv.Itoa(tag)))
+			}
+		}
+	}()
+	conn.Fail(1)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, c.in)
+		ended <- err
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection did not end")
+	}
+	close(stop)
+	<-sent
+	c.close(t)
+	receive(t, done)
+}
+
 // TestConnAwaitingSlotAtShutdown: a connection that was accepted and waits for a slot when the listener closes is served.
 func TestConnAwaitingSlotAtShutdown(t *testing.T) {
 	b, listener := startUnbuffered(t, 1)
