discovery: an answer over 8 MiB is taken up to its last whole event

What callers saw: after an outage with very many events a director never came up to date again; drains and purges no longer reached it. It asked for the same answer again and again, 8 MiB each time.

Cause: fetch reads 8 MiB of an answer at the most and decoded the rest-less text as a whole, which fails as truncated; the position did not move, so the next poll brought the same.

Change: of an answer that fills the bound, the events that came whole are taken and the position moves past them; the next poll goes on there. A single event over the bound is an error with its own name. A list of 3,200 nodes is one event of some 0.44 MB (136 bytes an entry, by the protocol's example), so the number of nodes alone does not reach the bound; some 150,000 purges do.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -1,9 +1,11 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"slices"
 	"strings"
@@ -31,6 +33,8 @@
 	Address string // host and port; empty where the channel gave none
 }
 
+var errEventTooLong = errors.New("an event is longer than what is read of an answer")
+
 // response is the channel's answer to a poll, and the form of the configuration's known events.
 type response struct {
 	Cursor   *int64    `json:"cursor"` // of the last event that the channel has
@@ -120,6 +124,49 @@
 	return events, nil
 }
 
+// decodeCutOff reads the beginning of an answer that is too long, and returns the events after the client's position that came whole. An
+// answer that has none is an error, since the next poll would bring it again.
+func (c *Client) decodeCutOff(raw []byte) ([]Event, error) {
+	commands, err := wholeCommands(raw)
+	if err != nil {
+		return nil, err
+	}
+	events, err := c.newEvents(commands)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(events) == 0:
+		return nil, errEventTooLong
+	}
+	c.cursor = events[len(events)-1].Cursor
+	return events, nil
+}
+
+// wholeCommands returns the commands that stand whole in the beginning of an answer.
+func wholeCommands(raw []byte) (commands []command, err error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	for inList := false; !inList; {
+		token, err := decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		if token == "cmds" {
+			token, err = decoder.Token()
+			inList = err == nil && token == json.Delim('[')
+		}
+	}
+	for decoder.More() {
+		var next command
+		if err := decoder.Decode(&next); errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+			break // it is cut off here
+		} else if err != nil {
+			return nil, err
+		}
+		commands = append(commands, next)
+	}
+	return commands, nil
+}
+
 // newEvents decodes the commands after the client's position; it passes over those that were had before.
 func (c *Client) newEvents(commands []command) (events []Event, err error) {
 	last := c.cursor
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -15,7 +15,8 @@
 	"tallyproxy/policy"
 )
 
-// maxAnswerBytes bounds what is read of one answer; a longer one is cut off there.
+// maxAnswerBytes bounds what is read of one answer. Of a longer one the events that came whole are taken, and the next poll goes on after
+// them.
 const maxAnswerBytes = 8 << 20
 
 // Ways in which a poll fails, beside a statusError and errors of decoding.
@@ -81,6 +82,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError{resp.StatusCode, parseRetryAfter(resp.Header.Get("Retry-After"))}
 	}
+	if len(raw) == maxAnswerBytes {
+		return c.decodeCutOff(raw)
+	}
 	events, err = c.Decode(raw)
 	if endsEarly(err, len(raw)) {
 		err = fmt.Errorf("%w: %w", errTruncated, err)
--- a/internal/discovery/fetch_test.go
+++ b/internal/discovery/fetch_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,6 +68,52 @@
 	}
 }
 
+// Guards against an answer over maxAnswerBytes that is asked for again without end: after a long outage a channel may tell so many events.
+func TestLongAnswer(t *testing.T) {
+	const events = 200_000 // 10 MB
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		resume, err := strconv.Atoi(r.FormValue("resume"))
+		if err != nil {
+			t.Error(err)
+		}
+		var answer strings.Builder
+		fmt.Fprintf(&answer, `{"cursor":%d,"cmds":[`, events)
+		for n := resume + 1; n <= events; n++ {
+			fmt.Fprintf(&answer, `{"cursor":%d,"drop":{"family":17,"when":17645760}},`, n)
+		}
+		respond(w, strings.TrimSuffix(answer.String(), ",")+"]}")
+	}))
+	defer server.Close()
+	client := New(testSite)
+	next, polls := int64(1), 0
+	for ; next <= events && polls < 5; polls++ {
+		got, err := client.fetch(t.Context(), server.Client(), fmt.Sprint(server.URL, "/cmd/next?resume=", client.cursor))
+		if err != nil {
+			t.Fatalf("poll %d, after event %d: %v", polls, next-1, err)
+		}
+		for _, e := range got {
+			if e.Cursor != next {
+				t.Fatalf("event %d came, want %d", e.Cursor, next)
+			}
+			next++
+		}
+	}
+	if next <= events {
+		t.Errorf("%d polls brought %d of %d events", polls, next-1, events)
+	}
+}
+
+// An event that is too long by itself is an error: the next poll would bring it again.
+func TestEventTooLong(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		respond(w, `{"cursor":1,"cmds":[{"cursor":1,"nodes":{"endpoints":[{"name":"`+strings.Repeat("x", maxAnswerBytes)+`"}]}}]}`)
+	}))
+	defer server.Close()
+	if _, err := New(testSite).fetch(t.Context(), server.Client(), server.URL); !errors.Is(err, errEventTooLong) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // A dial that nobody answers ends with its timeout though the poll that began it was canceled before: two of them would keep back
 // all later polls.
 func TestDialTimeout(t *testing.T) {
