config: keys(marks = 0, strangers = "abandon") is refused, with its key

What callers saw: with these two settings every marked retry of a request with a key failed, within its dedup window too, where a retry is harmless.

Cause: with no marks nothing is remembered, so each key is unknown; "abandon" fails retries of unknown keys. Each of the two is right by itself, and together they have no use.

Change: the script is refused with the key named, at the start and at SIGHUP, as other faults are. To ignore one of them silently was weighed: it would take away a protection that the operator asked for.

TestAbandonWithoutRecords fails on the text before for both orders of the settings.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -80,6 +80,11 @@
 			integerSetting("marks", &o.Dedup.MaxRecords, 0, maxDedupRecords),
 			numberSetting("remember", &o.Dedup.RetainWindows, 1, 1000),
 			choiceSetting("strangers", &o.Dedup.FailUnknownRetries, map[string]bool{"send": false, "abandon": true}),
+		}, done: func() error {
+			if o.Dedup.FailUnknownRetries && o.Dedup.MaxRecords == 0 {
+				return keyErrorf("keys.strangers", "\"abandon\" with no marks would fail every retry with a key")
+			}
+			return nil
 		}},
 		"door":    {settings: []setting{durationSetting("settle", &o.QuietPeriod, minQuietPeriod, maxQuietPeriod)}},
 		"machine": {settings: []setting{integerSetting("cores", &o.Cores, 1, maxCores)}},
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -50,6 +50,22 @@
 	}
 }
 
+// Guards against a script whose two settings together would fail every retry with a key.
+func TestAbandonWithoutRecords(t *testing.T) {
+	for script, refused := range map[string]bool{
+		`keys(marks = 0, strangers = "abandon")`: true,
+		`keys(strangers = "abandon", marks = 0)`: true,
+		`keys(marks = 0)`:                        false,
+		`keys(marks = 1, strangers = "abandon")`: false,
+		`keys(strangers = "abandon")`:            false,
+	} {
+		_, err := operator(t, script)
+		if refused != (err != nil) || refused && !strings.Contains(err.Error(), "keys.strangers") {
+			t.Errorf("%s: %v", script, err)
+		}
+	}
+}
+
 // A director has as many shards as the script asks for and the platform allows, one at least; only a change of that number needs a
 // restart.
 func TestShardCount(t *testing.T) {
