config: a negative zone is refused with its key in place of a panic

What callers saw: a platform file with "zone":-1 ended the start with a panic and its stack; at SIGHUP it ended a running director, with all that it held.

Cause: elementOrZero looked at the list's length alone, and ParseSite indexes lists by zone before the site is checked. check names the key once it is reached.

TestFaultsNameTheirKey/negative_zone panics on the text before and passes now.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -108,6 +108,7 @@
 		{"expiry", `5000`, `0`, "settings: lanes[0].hard-limit"},
 		{"lanes", `"lanes"`, `"x"`, "settings: lanes: missing"},
 		{"zone", `"zone":1`, `"zone":2`, "settings: zone: 2"},
+		{"negative zone", `"zone":1`, `"zone":-1`, "settings: zone: -1"},
 		{"origin", `"origin-kind":2`, `"origin-kind":9`, "settings: specifics.origin-kind: 9"},
 		{"connect", `"connect-timeout":400,`, ``, "settings: limits.connect-timeout"},
 		{"keepalive", `"keepalive":30000,`, ``, "settings: limits.keepalive"},
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -205,7 +205,7 @@
 
 // elementOrZero gives a list's element, or the zero value where the list is shorter.
 func elementOrZero[T any](list []T, i int) (value T) {
-	if i < len(list) {
+	if i >= 0 && i < len(list) {
 		value = list[i]
 	}
 	return value
