stall: no call trusts what is known while another goroutine notices the stall

What callers could see: after a pause of the director one request could be sent on by a list and purges that were as old as the pause: to a node that drained meanwhile, or to a purged copy.

Cause: Trusted looked at suspectSince, then went by the silence; noticeStall recorded the heartbeat, which ends the silence, before it stored suspectSince. Between the two another call saw neither.

Change: suspectSince is stored first, and Trusted looks at it again after the silence.

--- a/stall/detector.go
+++ b/stall/detector.go
@@ -107,10 +107,11 @@
 
 // Trusted reports whether what is known may be acted on now. The first caller after a stall notices it.
 func (d *Detector) Trusted(now Reading) bool {
-	if d.suspectSince.Load() != 0 {
+	if d.suspectSince.Load() != 0 || d.noticeStall(now) {
 		return false
 	}
-	return !d.noticeStall(now)
+	// Another goroutine may have noticed a stall since the first look, and recorded the heartbeat that noticeStall went by.
+	return d.suspectSince.Load() == 0
 }
 
 // Heartbeat records a sign of life; it is to be called at least heartbeatsPerStall times within Thresholds.Stall. It ends a
@@ -211,11 +212,11 @@
 		d.resolved = make(chan struct{})
 		d.stalled, d.staleFrom = 0, now.Monotonic-d.thresholds.Stall/heartbeatsPerStall
 	}
+	d.suspectSince.Store(max(1, int64(now.Monotonic))) // before the heartbeat, by which others find no stall
 	d.recordHeartbeat(now)
 	d.lastPoll.Store(int64(now.Monotonic))
 	d.stalled += stalled
 	d.staleUntil = math.MaxInt64
-	d.suspectSince.Store(max(1, int64(now.Monotonic)))
 	d.stalls++
 	d.mu.Unlock()
 	d.onSuspect(stalled)
--- a/stall/detector_test.go
+++ b/stall/detector_test.go
@@ -1,6 +1,8 @@
 package stall
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -17,6 +19,30 @@
 	return Reading{Monotonic: t, Wall: 1_000_000*policy.Second + t}
 }
 
+// Guards against a call that trusts what is known while another goroutine notices the stall.
+func TestTrustedWhileAnotherNotices(t *testing.T) {
+	const rounds, callers = 3000, 8
+	for round := range rounds {
+		d := New(testThresholds, readingAt(0), func(policy.Micros) {}, func(Resolution, policy.Micros) {})
+		var trusted atomic.Int64
+		var all sync.WaitGroup
+		begin := make(chan struct{})
+		for range callers {
+			all.Go(func() {
+				<-begin
+				if d.Trusted(readingAt(4000 * ms)) {
+					trusted.Add(1)
+				}
+			})
+		}
+		close(begin)
+		all.Wait()
+		if n := trusted.Load(); n > 0 {
+			t.Fatalf("round %d: %d of %d calls after a stall trusted what is known", round, n, callers)
+		}
+	}
+}
+
 // A stall is noticed at the first use after it, and is resolved as each case says.
 func TestStalls(t *testing.T) {
 	type step struct {
