rollout: a repeated Prepare that was refused names the same target's reason

Cause: the reply to a repeat took the first refused target in map order, the first reply the first by name; an operator could be told another reason than the one before, and equal events gave unequal replies.

Change: both go through Entry.refusal, by name.

--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -150,10 +150,8 @@
 		return false, reason
 	}
 	if e := a.Entry(m.Change.ID); e != nil {
-		for _, state := range e.TargetStates {
-			if state.Phase == PhaseRefused {
-				return false, state.Reason
-			}
+		if reason := e.refusal(); reason != "" {
+			return false, reason
 		}
 		return e.Outcome != Abort && e.TargetStates != nil, "it was dropped"
 	}
@@ -167,12 +165,18 @@
 		}
 	}
 	a.add(e)
+	reason = e.refusal()
+	return reason == "", reason
+}
+
+// refusal returns why the first of the targets, by name, that was refused was so; empty where none was.
+func (e *Entry) refusal() (reason string) {
 	for _, instance := range slices.Sorted(maps.Keys(e.TargetStates)) {
 		if state := e.TargetStates[instance]; state.Phase == PhaseRefused {
-			return false, state.Reason
+			return state.Reason
 		}
 	}
-	return true, ""
+	return ""
 }
 
 // prepareTarget checks whether a target can be applied.
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -271,3 +271,19 @@
 		}
 	}
 }
+
+// Guards against a repeated Prepare that names another target's refusal than the first: the same events are to give the same reply.
+func TestRepeatedPrepareReason(t *testing.T) {
+	f := newFleet(1)
+	change := f.newChange("c1", "faulty", 1)
+	for i := range 8 {
+		change.Targets = append(change.Targets, Target{Instance: fmt.Sprint("stranger", i), Agent: "a0", Script: "x", Wave: 1})
+	}
+	prepare := Message{Type: Prepare, Ballot: Ballot{1, "op1"}, Change: change}
+	first, _ := f.machines["a0"].Handle(f.now, prepare)
+	for range 50 {
+		if repeated, _ := f.machines["a0"].Handle(f.now, prepare); first.OK || repeated.Reason != first.Reason {
+			t.Fatalf("%q, then %q", first.Reason, repeated.Reason)
+		}
+	}
+}
