--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/policy"
 )
 
@@ -26,7 +27,8 @@
 		}
 	}
 	slices.SortFunc(updates, func(x, y Update) int {
-		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.Node, y.Node), cmp.Compare(x.Object, y.Object), cmp.Compare(x.Group, y.Group))
+		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.Node, y.Node), cmp.Compare(x.Object, y.Object), cmp.Compare(x.Group, y.Group),
+			cmp.Compare(y.PurgedAt, x.PurgedAt), cmp.Compare(y.Started, x.Started), cmp.Compare(boolean.Int(y.Removed), boolean.Int(x.Removed)))
 	})
 	return updates[:min(len(updates), s.settings.MaxUpdates)]
 }
--- a/gossip/snapshot_test.go
+++ b/gossip/snapshot_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// Guards against a snapshot that is cut in map order: updates of one age are told in one order, and the same ones.
+func TestSnapshotOrder(t *testing.T) {
+	settings := testSettings()
+	settings.MaxUpdates = 3
+	var first []Update
+	for range 50 {
+		store := New(0, settings)
+		for n := range policy.Micros(6) {
+			store.RecordPurge(policy.Second, Update{Group: 3, PurgedAt: 1 + n})
+		}
+		got := store.Snapshot(policy.Second)
+		if first == nil {
+			first = got
+		}
+		if len(got) != settings.MaxUpdates || !slices.Equal(got, first) {
+			t.Fatalf("%+v, then %+v", first, got)
+		}
+	}
+}
+
 // The digest of recent purges is the same for those who have received all, in whatever order, and shows who has not. What was told long ago
 // is no part of it: one that starts later must not be sent it for ever.
 func TestRecentPurges(t *testing.T) {
