maintenance: Violations sees any machine that two jobs share

Cause: it compared each job's first machine alone, so a plan with two jobs at one machine passed the check where either names another first.

Change: all machines of the group are compared. TestViolationsOfSharedMachines fails on the text before in three of its four cases, and passes now.

--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -34,6 +34,32 @@
 	return jobs
 }
 
+// Guards against a plan that has two jobs at one machine at a time, where that is not the first that either names.
+func TestViolationsOfSharedMachines(t *testing.T) {
+	site := newSite(9, 1)
+	for _, c := range []struct {
+		first, second []string
+		want          int
+	}{
+		{[]string{"node-0", "node-1"}, []string{"node-1", "node-2"}, 1},
+		{[]string{"node-0"}, []string{"node-1", "node-0"}, 1},
+		{[]string{"node-0", "parent-0"}, []string{"node-1", "parent-0"}, 1},
+		{[]string{"node-0", "node-1"}, []string{"node-2", "node-3"}, 0},
+	} {
+		jobs := []Job{{ID: "a", Machines: c.first, Duration: minute}, {ID: "b", Machines: c.second, Duration: minute}}
+		plan := Plan{Placements: []Placement{{Job: "a", End: minute}, {Job: "b", Start: minute / 2, End: 3 * minute / 2}}}
+		shared := 0
+		for _, violation := range Violations(site, jobs, plan) {
+			if strings.Contains(violation, "one machine at a time") {
+				shared++
+			}
+		}
+		if shared != c.want {
+			t.Errorf("%v and %v: %d violations, want %d", c.first, c.second, shared, c.want)
+		}
+	}
+}
+
 // TestPlans checks placements and their reasons on small sites, with both planners.
 func TestPlans(t *testing.T) {
 	cases := []struct {
--- a/maintenance/violations.go
+++ b/maintenance/violations.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"tallyproxy/policy"
 )
@@ -29,7 +30,7 @@
 		}
 	}
 	for i, g := range p.groups {
-		violations = append(violations, p.sharedMachines(planned[i])...)
+		violations = append(violations, p.sharedMachines(i, planned[i])...)
 		if hasStarted[i] || len(g.warming) > 0 || g.lostCount > 0 {
 			continue // more was lost before than was planned
 		}
@@ -38,15 +39,18 @@
 	return violations
 }
 
-// sharedMachines returns the jobs that have a machine out at the same time.
-func (p *planner) sharedMachines(planned []outage) (violations []string) {
+// sharedMachines returns the jobs that have a machine of a group out at the same time.
+func (p *planner) sharedMachines(group int, planned []outage) (violations []string) {
 	for k, o := range planned {
 		for _, other := range planned[:k] {
 			x, y := p.jobs[o.job], p.jobs[other.job]
-			if x == nil || y == nil || x.Machines[0] != y.Machines[0] {
+			if x == nil || y == nil {
 				continue
 			}
-			if o.start < other.returns && other.start < o.returns {
+			shared := slices.ContainsFunc(x.Machines, func(name string) bool {
+				return p.groupOf[name] == group && slices.Contains(y.Machines, name)
+			})
+			if shared && o.start < other.returns && other.start < o.returns {
 				violations = append(violations, fmt.Sprintf("%s and %s have one machine at a time", o.job, other.job))
 			}
 		}
