maintenance: a job's capacity is summed in the groups' order

Cause: capacityOf added in map order; sums of floating point differ by order in their last bits, and the sum decides which job the search takes first, so equal input could give unequal plans.

Change: the groups are added in order.

--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// Guards against sums in map order: what decides between two plans is to be the same each time, to the last bit.
+func TestCapacityIsSummedInOrder(t *testing.T) {
+	site := newSite(1, 1)
+	site.Machines[0].Capacity, site.Machines[1].Capacity = 0.1, 0.2
+	site.Machines = append(site.Machines, Machine{Name: "node-9", Location: "north", Capacity: 0.3}, Machine{Name: "node-8", Location: "west", Capacity: 1e-17})
+	job := Job{ID: "a", Machines: []string{"node-0", "parent-0", "node-9", "node-8"}}
+	p := newPlanner(&site)
+	first := p.capacityOf(&job)
+	for range 200 {
+		if got := p.capacityOf(&job); got != first {
+			t.Fatalf("%v, then %v", first, got)
+		}
+	}
+}
+
 // TestPlans checks placements and their reasons on small sites, with both planners.
 func TestPlans(t *testing.T) {
 	cases := []struct {
--- a/maintenance/planner.go
+++ b/maintenance/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -138,10 +139,11 @@
 	return needs
 }
 
-// capacityOf returns what a job takes of all groups.
+// capacityOf returns what a job takes of all groups. It adds by the groups' order, since sums of other orders differ in their last bits.
 func (p *planner) capacityOf(j *Job) (capacity float64) {
-	for _, o := range p.needs(j) {
-		capacity += o.capacity
+	needs := p.needs(j)
+	for _, group := range slices.Sorted(maps.Keys(needs)) {
+		capacity += needs[group].capacity
 	}
 	return capacity
 }
