upstream: a cancelled id is counted as its cancelling is encoded

What callers could see: where a node answered the probe behind a cancelling before the write was recorded, the id was not remembered. A request with the same id could go over the same connection and take the late answer of the cancelled one; and a connection with many cancellings was not retired.

Cause: cancelWritten, which counted, is passed over for an attempt that has ended, and the probe's answer ends it. The order of the two depends on who gets the lock first.

Change: encodeCancel counts. TestProbeAnswerBeforeRecord plays that order; it fails on the text before and passes now.

--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -117,6 +117,30 @@
 	}
 }
 
+// Guards against a cancelled id that is not counted where the probe's answer comes before the write is recorded: a request with that id
+// must not use the connection again, and the connection takes no further requests after many.
+func TestProbeAnswerBeforeRecord(t *testing.T) {
+	f := newFixture(t, testTimeouts, 8)
+	a, outcomes := f.newAttempt("a1")
+	c := newConn(f.endpoint)
+	var b batch
+	f.locked(func() {
+		a.conn, a.stage, a.cancelled, a.confirm = c, FullyWritten, true, true
+		c.attempts["a1"] = a
+		c.encode(&message{attempt: a, isCancel: true}, &b)
+		b.messages, b.ends = []message{{attempt: a, isCancel: true}}, []int{len(b.data)}
+	})
+	c.probeAnswered("a1")
+	expectOutcome(t, outcomes, "fully written, cancelled")
+	c.recordProgress(&b, len(b.data), nil)
+	again, _ := f.newAttempt("a1")
+	f.locked(func() {
+		if c.accepts(again) {
+			t.Error("the connection takes a request with the id that was cancelled on it")
+		}
+	})
+}
+
 // An unresponsive endpoint must not go on with a request that is retried elsewhere: its connection is reset.
 func TestCancelWithConfirmation(t *testing.T) {
 	timeouts := testTimeouts
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -107,6 +107,10 @@
 	if a.finished {
 		return
 	}
+	c.cancelledIDs[a.request.ID] = true // before the write returns, since the endpoint may answer the probe before
+	if len(c.cancelledIDs) >= maxCancelledIDs {
+		c.retired = true
+	}
 	b.data = appendCancel(b.data, a.request.ID)
 	if a.confirm {
 		b.data = appendProbe(b.data, a.request.ID)
@@ -198,10 +202,6 @@
 
 // cancelWritten ends an attempt whose cancelling was written, unless it waits for the confirmation. The caller holds the endpoint's lock.
 func (c *conn) cancelWritten(a *Attempt) {
-	c.cancelledIDs[a.request.ID] = true
-	if len(c.cancelledIDs) >= maxCancelledIDs {
-		c.retired = true
-	}
 	if !a.confirm {
 		c.finish(a, Response{}, cancelledAt(a.stage))
 	}
