downstream: a cancelled request does not leave the time of its arrival standing

What callers could see: a request whose cancelling lay unread behind it could be sent on to a node.

Cause: deliverWhenRead keeps the time at which the first undelivered request came, and delivers after MaxDecisionAge whatever still lies in the socket. A cancelling that emptied the list left the time standing, so the next request counted as that old and was delivered at once.

Change: an empty list has no time. TestCancelledRequestLeavesNoTime fails on the text before and passes now.

--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -86,7 +86,8 @@
 
 // deliverWhenRead gives the received requests to the handler once nothing more lies in the socket, or after MaxDecisionAge.
 func (c *Conn) deliverWhenRead(now time.Time) {
-	if len(c.received) == 0 {
+	if len(c.received) == 0 { // none came, or all were cancelled
+		c.receivedSince = time.Time{}
 		return
 	}
 	if c.receivedSince.IsZero() {
--- a/internal/downstream/reader_test.go
+++ b/internal/downstream/reader_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"tallyproxy/internal/socket"
 	"tallyproxy/policy"
 )
 
@@ -153,3 +154,36 @@
 		}
 	})
 }
+
+// Guards against a request that is given to the handler while its cancelling lies in the socket, since an earlier one that was cancelled
+// there has left its time standing.
+func TestCancelledRequestLeavesNoTime(t *testing.T) {
+	b := startServer(t, 2, 64, 10*time.Second, func(m *policy.Timeouts) { m.MaxDecisionAge = policy.Second / 20 })
+	listener := listen(t)
+	client, err := net.Dial("tcp", listener.Addr().String())
+	requireNoError(t, err)
+	defer func() { _ = client.Close() }() // nothing is lost with it
+	netConn, err := listener.Accept()
+	requireNoError(t, err)
+	defer func() { _ = netConn.Close() }()
+	_, err = client.Write([]byte("what is not read yet"))
+	requireNoError(t, err)
+	c := newConn(b.Server, b.testHandler, netConn)
+	eventually(t, "nothing came", func() bool { data, _ := socket.PendingInput(netConn); return data })
+	begun := time.Now()
+	receive := func(tag uint64, at time.Time) {
+		c.pending[tag] = true
+		c.received = append(c.received, receivedRequest{tag, Request{Body: b.pool.NewBody(0)}})
+		c.deliverWhenRead(at)
+	}
+	receive(1, begun)
+	c.handleCancel(1)
+	c.deliverWhenRead(begun.Add(time.Millisecond))
+	receive(2, begun.Add(time.Second))
+	select {
+	case call := <-b.requests:
+		t.Errorf("request %d was given to the handler with input unread", call.tag)
+	default:
+	}
+	c.handleCancel(2)
+}
