agent: where serving fails, ServeListener waits for what it has taken too

What callers could see: an agent whose listener failed closed its store under a promise or a command that was being stored; whoever opened the store next could find that it was not kept, though it was begun.

Cause: only the end of the context waited for tasks and calls; an error of Serve returned at once.

Change: both go through shutdown. TestServeReturnsAfterSaving has its twin for a listener that fails, with the same checks; the twin fails on the text before (it returns while the store is held) and passes now, under the race detector too.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -69,6 +69,17 @@
 // An agent that is told to end while it stores a promise ends once that is done: whoever opens the store next finds it whole, and
 // nothing is begun besides what was waited for. Otherwise what the message began would meet a closed store.
 func TestServeReturnsAfterSaving(t *testing.T) {
+	checkReturnsAfterSaving(t, func(cancel func(), _ net.Listener) { cancel() }, false)
+}
+
+// The same where serving fails.
+func TestServeReturnsAfterSavingWhenItFails(t *testing.T) {
+	checkReturnsAfterSaving(t, func(_ func(), l net.Listener) { _ = l.Close() }, true)
+}
+
+// checkReturnsAfterSaving ends an agent that stores a promise, and checks when and how ServeListener returns.
+func checkReturnsAfterSaving(t *testing.T, end func(cancel func(), l net.Listener), fails bool) {
+	t.Helper()
 	f := newTestAgent(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -91,7 +102,8 @@
 			t.Fatal("the message did not come")
 		}
 	}
-	cancel()
+	defer cancel()
+	end(cancel, f.listener)
 	select {
 	case err := <-ended:
 		t.Errorf("ended (%v) while it stored what it took", err)
@@ -102,7 +114,7 @@
 	}
 	select {
 	case err := <-ended:
-		if err != nil {
+		if (err != nil) != fails {
 			t.Errorf("ended with %v", err)
 		}
 	case <-time.After(10 * time.Second):
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -40,8 +40,8 @@
 	return a.ServeListener(ctx, l)
 }
 
-// ServeListener works as Serve does on a listener of the caller's, which it closes. When the context ends it returns after the calls and
-// commands that it has taken are finished, so that the store may be closed.
+// ServeListener works as Serve does on a listener of the caller's, which it closes. When the context ends, or serving fails, it returns
+// after the calls and commands that it has taken are finished, so that the store may be closed.
 func (a *Agent) ServeListener(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -68,12 +68,11 @@
 	for {
 		select {
 		case <-ctx.Done():
-			server.Stop()
-			a.tasks.Wait()
-			a.clients.Close()
-			a.membership.Load().Leave()
+			a.shutdown(server)
 			return <-served
 		case err := <-served:
+			cancel()
+			a.shutdown(server)
 			return err
 		case <-ticker.C:
 			a.runRecovery(func() ([]rollout.Envelope, []rollout.Command) { return a.recovery.Tick(a.now()) })
@@ -81,6 +80,14 @@
 	}
 }
 
+// shutdown ends what ServeListener has begun, once its context has ended.
+func (a *Agent) shutdown(server *grpc.Server) {
+	server.Stop()
+	a.tasks.Wait()
+	a.clients.Close()
+	a.membership.Load().Leave()
+}
+
 // managedDirectors returns the directors that this agent starts, by name.
 func (a *Agent) managedDirectors() (managed []*Director) {
 	for _, name := range slices.Sorted(maps.Keys(a.directors)) {
