faulttest: a director whose process can't be started is not waited for without end

Cause: Wait reads the channel on which the process's end is reported; where cmd.Start failed nobody wrote to it, so a restart or the end of a harness hung until the test's time was up.

Change: the error of the start is reported there.

--- a/internal/faulttest/director.go
+++ b/internal/faulttest/director.go
@@ -123,6 +123,7 @@
 	exited = make(chan error, 1)
 	d.cmd, d.exited = cmd, exited
 	if err := cmd.Start(); err != nil {
+		exited <- err // nobody is to wait for a process that there is not
 		return nil, err
 	}
 	go func() { exited <- cmd.Wait() }()
