downstream: after the drain deadline a client is waited for by time, not by rejections

Cause: that fix ceased to read after 32 rejections on a connection, which a client with 32 open requests reaches in its second burst.

Change: what is waited for is a moment without input, for 0.1 s (PollRetry) from the first look past the deadline that found some. TestInputPutsHalfCloseOff holds it; on the text before it does not compile, since the count was another field. TestEndlessRequestsDuringDrain holds the end as before.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -27,7 +27,7 @@
 	messageReceived bool      // a complete message came
 	suspect         bool      // set by MarkSuspect, until a request succeeds
 	badRequests     int       // requests that could not be used
-	lateRequests    int       // requests that came after the deadline of the drain
+	restlessSince   time.Time // when input first kept the connection from being half-closed after the deadline of the drain
 	messageStart    time.Time // when an incomplete message, or the connection without any, began; zero for none
 	lastUsed        time.Time // when the last request came or was answered
 	retryNotBefore  time.Time // when the client may come back after a rejection
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -170,6 +170,19 @@
 	return listener
 }
 
+// connectedPair returns both ends of a connection over loopback, which nobody reads.
+func connectedPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	listener := listen(t)
+	client, err := net.Dial("tcp", listener.Addr().String())
+	requireNoError(t, err)
+	t.Cleanup(func() { _ = client.Close() }) // nothing is lost with it
+	server, err = listener.Accept()
+	requireNoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return client, server
+}
+
 // closeListener closes a listener, unless the test or the server did before.
 func closeListener(t *testing.T, listener net.Listener) {
 	t.Helper()
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -148,7 +148,7 @@
 		return unsent
 	}
 	c.setReadDeadline(time.Time{})
-	if c.mayHalfCloseLocked() {
+	if c.mayHalfCloseLocked(now) {
 		c.halfCloseLocked(now)
 	}
 	return true
@@ -200,9 +200,7 @@
 		return a, false
 	}
 	a.tagInUse, a.tooMany = c.pending[msg.tag], len(c.pending) >= maxPendingRequests
-	if a.late = c.phase == phaseDraining && now.After(c.closeDeadline); a.late {
-		c.lateRequests++
-	}
+	a.late = c.phase == phaseDraining && now.After(c.closeDeadline)
 	c.pending[msg.tag] = true
 	c.lastUsed, c.messageStart, c.messageReceived = now, time.Time{}, true
 	msg.request.ClientSuspect, msg.request.ClientHash = c.suspect, c.clientHash
--- a/internal/downstream/reader_test.go
+++ b/internal/downstream/reader_test.go
@@ -159,14 +159,8 @@
 // there has left its time standing.
 func TestCancelledRequestLeavesNoTime(t *testing.T) {
 	b := startServer(t, 2, 64, 10*time.Second, func(m *policy.Timeouts) { m.MaxDecisionAge = policy.Second / 20 })
-	listener := listen(t)
-	client, err := net.Dial("tcp", listener.Addr().String())
-	requireNoError(t, err)
-	defer func() { _ = client.Close() }() // nothing is lost with it
-	netConn, err := listener.Accept()
-	requireNoError(t, err)
-	defer func() { _ = netConn.Close() }()
-	_, err = client.Write([]byte("what is not read yet"))
+	client, netConn := connectedPair(t)
+	_, err := client.Write([]byte("what is not read yet"))
 	requireNoError(t, err)
 	c := newConn(b.Server, b.testHandler, netConn)
 	eventually(t, "nothing came", func() bool { data, _ := socket.PendingInput(netConn); return data })
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -79,14 +79,18 @@
 
 // mayHalfCloseLocked reports whether a draining connection has nothing more to do: nothing is pending or queued, and no input that is
 // still acted on lies in the socket. What lies there came before the end, so that it is read and answered, after the drain deadline
-// with a rejection. A client that goes on all the same, as often as it may have requests pending, is no longer waited for. The caller
-// holds c.mu.
-func (c *Conn) mayHalfCloseLocked() bool {
+// with a rejection. A client that then leaves no moment without input for PollRetry is no longer waited for. The caller holds c.mu.
+func (c *Conn) mayHalfCloseLocked(now time.Time) bool {
 	if c.phase == phaseActive || !c.idleLocked() {
 		return false
 	}
-	data, _ := socket.PendingInput(c.netConn)
-	return !data || c.input != inputAll || c.lateRequests >= maxPendingRequests
+	if data, _ := socket.PendingInput(c.netConn); !data || c.input != inputAll {
+		return true
+	}
+	if c.restlessSince.IsZero() && now.After(c.closeDeadline) {
+		c.restlessSince = now
+	}
+	return !c.restlessSince.IsZero() && now.Sub(c.restlessSince) >= c.server.timeouts.PollRetry.Duration()
 }
 
 // Close ends the connection at once. Responses that are queued are lost.
--- a/internal/downstream/shutdown_test.go
+++ b/internal/downstream/shutdown_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"tallyproxy/internal/socket"
 	"tallyproxy/policy"
 )
 
@@ -151,6 +152,27 @@
 	receive(t, done)
 }
 
+// TestInputPutsHalfCloseOff guards against losing the requests of a client that sends many after the drain deadline: however many came,
+// input keeps the connection until the client has left no moment without any for PollRetry.
+func TestInputPutsHalfCloseOff(t *testing.T) {
+	b := startServer(t, 2, 64, 10*time.Second)
+	client, netConn := connectedPair(t)
+	_, err := client.Write([]byte("a request"))
+	requireNoError(t, err)
+	eventually(t, "nothing came", func() bool { data, _ := socket.PendingInput(netConn); return data })
+	c, deadline := newConn(b.Server, b.testHandler, netConn), time.Now()
+	c.phase, c.closeDeadline = phaseDraining, deadline
+	pollRetry := b.timeouts.PollRetry.Duration()
+	for _, look := range []struct {
+		after time.Duration // the deadline
+		may   bool
+	}{{-time.Second, false}, {time.Second, false}, {time.Second + pollRetry/2, false}, {time.Second + pollRetry - 1, false}, {time.Second + pollRetry, true}} {
+		if may := c.mayHalfCloseLocked(deadline.Add(look.after)); may != look.may {
+			t.Errorf("%v after the deadline: %v, want %v", look.after, may, look.may)
+		}
+	}
+}
+
 // TestConnAwaitingSlotAtShutdown: a connection that was accepted and waits for a slot when the listener closes is served.
 func TestConnAwaitingSlotAtShutdown(t *testing.T) {
 	b, listener := startUnbuffered(t, 1)
