downstream: the look into the socket and the half-close are two system calls in a row

Cause: between them lay locks, a read deadline and calls of the runtime. A request that came in that gap is lost to its client until it sends it once more; where the process loses the processor there, for milliseconds.

Change: socket.CloseWriteIfEmpty looks and closes under one hold of the descriptor; tryHalfCloseLocked does what two functions did. The gap can't be closed by a director, only made short.

Run: tests of downstream and server under the race detector.

--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -148,9 +148,7 @@
 		return unsent
 	}
 	c.setReadDeadline(time.Time{})
-	if c.mayHalfCloseLocked(now) {
-		c.halfCloseLocked(now)
-	}
+	c.tryHalfCloseLocked(now)
 	return true
 }
 
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -65,34 +65,31 @@
 	c.drainLocked()
 }
 
-// halfCloseLocked closes the sending side: the client learns that nothing more comes and closes its own. The caller is the reader, and
-// holds c.mu.
-func (c *Conn) halfCloseLocked(now time.Time) {
+// tryHalfCloseLocked closes the sending side of a draining connection that has nothing more to do: nothing is pending or queued, and no
+// input that is still acted on lies in the socket. What lies there came before the end, so that it is read and answered, after the drain
+// deadline with a rejection. A client that then leaves no moment without input for PollRetry is no longer waited for. After the half-close
+// the client learns that nothing more comes, and closes its own side. The caller is the reader, and holds c.mu.
+func (c *Conn) tryHalfCloseLocked(now time.Time) {
+	if c.phase == phaseActive || !c.idleLocked() {
+		return
+	}
 	timeouts := &c.server.timeouts
+	restless := !c.restlessSince.IsZero() && now.Sub(c.restlessSince) >= timeouts.PollRetry.Duration()
+	if c.input != inputAll || restless {
+		if tcp, ok := c.netConn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite() // fails only where the client has reset the connection, which the reader sees
+		}
+	} else if !socket.CloseWriteIfEmpty(c.netConn) {
+		if c.restlessSince.IsZero() && now.After(c.closeDeadline) {
+			c.restlessSince = now
+		}
+		return
+	}
 	c.phase, c.closeDeadline = phaseHalfClosed, now.Add(timeouts.WriteFlush.Duration())
 	c.setReadDeadline(now.Add(timeouts.Connect.Duration()))
-	if tcp, ok := c.netConn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite() // fails only where the client has reset the connection, which the reader sees
-	}
 	c.wakeWriter()
 }
 
-// mayHalfCloseLocked reports whether a draining connection has nothing more to do: nothing is pending or queued, and no input that is
-// still acted on lies in the socket. What lies there came before the end, so that it is read and answered, after the drain deadline
-// with a rejection. A client that then leaves no moment without input for PollRetry is no longer waited for. The caller holds c.mu.
-func (c *Conn) mayHalfCloseLocked(now time.Time) bool {
-	if c.phase == phaseActive || !c.idleLocked() {
-		return false
-	}
-	if data, _ := socket.PendingInput(c.netConn); !data || c.input != inputAll {
-		return true
-	}
-	if c.restlessSince.IsZero() && now.After(c.closeDeadline) {
-		c.restlessSince = now
-	}
-	return !c.restlessSince.IsZero() && now.Sub(c.restlessSince) >= c.server.timeouts.PollRetry.Duration()
-}
-
 // Close ends the connection at once. Responses that are queued are lost.
 func (c *Conn) Close() {
 	c.mu.Lock()
--- a/internal/downstream/shutdown_test.go
+++ b/internal/downstream/shutdown_test.go
@@ -164,11 +164,12 @@
 	c.phase, c.closeDeadline = phaseDraining, deadline
 	pollRetry := b.timeouts.PollRetry.Duration()
 	for _, look := range []struct {
-		after time.Duration // the deadline
-		may   bool
+		after  time.Duration // the deadline
+		closed bool
 	}{{-time.Second, false}, {time.Second, false}, {time.Second + pollRetry/2, false}, {time.Second + pollRetry - 1, false}, {time.Second + pollRetry, true}} {
-		if may := c.mayHalfCloseLocked(deadline.Add(look.after)); may != look.may {
-			t.Errorf("%v after the deadline: %v, want %v", look.after, may, look.may)
+		c.tryHalfCloseLocked(deadline.Add(look.after))
+		if closed := c.phase == phaseHalfClosed; closed != look.closed {
+			t.Errorf("%v after the deadline: half-closed %v, want %v", look.after, closed, look.closed)
 		}
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,5 @@
-// Package socket inspects the kernel's buffers of a connection, without reading from it and without blocking.
+// Package socket inspects the kernel's buffers of a connection, without reading from it and without blocking, and closes it by what it
+// finds.
 package socket
 
 import (
@@ -21,6 +22,22 @@
 	return data, closed
 }
 
+// CloseWriteIfEmpty closes the sending side of a connection, unless the kernel holds received bytes that were not read yet, and reports
+// whether it did. The look and the close are system calls in a row, so that as little as can be arrives between them. A connection
+// without a file descriptor counts as closed.
+func CloseWriteIfEmpty(conn net.Conn) (closed bool) {
+	closed = true
+	withDescriptor(conn, func(descriptor int) {
+		var buffer [1]byte
+		if n, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == nil && n > 0 {
+			closed = false
+			return
+		}
+		_ = syscall.Shutdown(descriptor, syscall.SHUT_WR) // fails only where the other side has reset the connection
+	})
+	return closed
+}
+
 // HasUnsentOutput reports whether the kernel still holds written bytes that the other side has not acknowledged. It is false for a
 // connection without a file descriptor.
 func HasUnsentOutput(conn net.Conn) (unsent bool) {
