faulttest: TestSoak, directors through restarts, signals in series and all around them

Need: what only long service shows. Most signals wait for a request or an answer and come within a millisecond of it; aimed clients send within a millisecond of a signal or of the end of any connection.

Judged: lost, second, late (0.5 s), wrong, stale; effects twice; drains, cold nodes; sent on over 0.1 s after its client left; refused within 0.2 s of SIGTERM; ready within 10 s in nine of ten; exit statuses; descriptors at rest after 4 s; peak memory. A request on a connection that ends counts as lost where the connection still stood 1 ms after its last byte, by TCP_INFO; else it crossed the end.

Not covered: goroutines and memory over a long life. The golden list of kinds has eight new ones at its end.

--- a/internal/fakes/channel.go
+++ b/internal/fakes/channel.go
@@ -29,12 +29,12 @@
 
 const noEnd = time.Duration(math.MaxInt64)
 
-// knownFrom is when something that was published at a time counts as known to directors: during an outage nobody can know, and after it
-// they may take a while to poll.
+// knownFrom is when something that was published at a time counts as known to directors: during an outage nobody can know, and for
+// repollWithin after it they may not have polled, whether it was published before the outage's end or then.
 func (s *channelState) knownFrom(at time.Duration) time.Duration {
 	for _, o := range s.outages {
-		if at >= o.from && at < o.until {
-			return min(o.until, noEnd-2*repollWithin) + repollWithin
+		if polled := min(o.until, noEnd-2*repollWithin) + repollWithin; at >= o.from && at < polled {
+			return polled
 		}
 	}
 	return at
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -41,8 +41,7 @@
 	Zipf             *Zipf         // popularity of the objects that it requests
 
 	conn      net.Conn
-	unread    []byte // input that is not parsed yet
-	buffer    [4096]byte
+	answers   answerReader
 	tag       int       // of the last attempt
 	used      bool      // the connection has carried an attempt
 	notBefore time.Time // the time that it was last told to come back at
@@ -65,7 +64,7 @@
 		}
 		conn, err := dialer.DialContext(ctx, "tcp", c.Targets[c.Current].Addr)
 		if err == nil {
-			c.conn, c.unread, c.used = conn, nil, false
+			c.conn, c.answers, c.used = conn, answerReader{conn: conn}, false
 			context.AfterFunc(ctx, func() { closeQuietly(conn) })
 			continue
 		}
@@ -93,7 +92,7 @@
 		c.used = true
 		answer, sentAt, err := c.roundTrip(o, timeout, isRetry, key)
 		if err == nil {
-			c.recordAnswer(o, sentAt, answer)
+			c.Cluster.recordAnswer(o, sentAt, answer)
 			return answer.status, answer.retryAfter, answer.body, nil
 		}
 		target := c.Targets[c.Current]
@@ -111,7 +110,7 @@
 func (c *Client) roundTrip(o Object, timeout time.Duration, isRetry bool, key string) (answer clientAnswer, sentAt time.Duration,
 	err error) {
 	c.tag++
-	message := c.requestMessage(o, timeout, isRetry, key)
+	message := requestMessage(o, requestParameters{c.tag, fmt.Sprintf("%016x", c.Rand.Uint64()), timeout, isRetry && !c.UnmarkedRetries, key})
 	sentAt = c.Cluster.Now()
 	c.Cluster.Clients.WithLock(func(s *ClientStats) { count(&s.AttemptSeries, sentAt) })
 	if _, err = c.conn.Write(message); err == nil {
@@ -120,23 +119,23 @@
 	return answer, sentAt, err
 }
 
-// recordAnswer counts an answer, and what is wrong with its bytes.
-func (c *Client) recordAnswer(o Object, sentAt time.Duration, answer clientAnswer) {
-	c.Cluster.Clients.WithLock(func(s *ClientStats) {
+// recordAnswer counts a client's answer to a request that it sent at a time, and what is wrong with its bytes.
+func (c *Cluster) recordAnswer(o Object, sentAt time.Duration, answer clientAnswer) {
+	c.Clients.WithLock(func(s *ClientStats) {
 		s.AnswersByStatus[answer.status]++
 		if answer.status == statusRejected {
-			count(&s.RejectSeries, c.Cluster.Now())
+			count(&s.RejectSeries, c.Now())
 		}
 		if answer.status != statusOK {
 			return
 		}
-		count(&s.SuccessSeries, c.Cluster.Now())
+		count(&s.SuccessSeries, c.Now())
 		id, born, ok := parseBody(answer.body)
 		if !ok || id != o.ID {
 			s.WrongBodies++
 			return
 		}
-		if at := c.Cluster.bindingPurge(o.ID, o.Group, sentAt); at > 0 && born < c.Cluster.startedAt.Add(at).UnixMilli() {
+		if at := c.bindingPurge(o.ID, o.Group, sentAt); at > 0 && born < c.startedAt.Add(at).UnixMilli() {
 			s.StaleCopies++
 		}
 	})
@@ -245,7 +244,7 @@
 			return
 		}
 		if err := c.conn.SetReadDeadline(time.Now().Add(idleFor)); err == nil {
-			_, _ = c.conn.Read(c.buffer[:]) // however it ends, the next connection follows
+			_, _ = c.conn.Read(c.answers.buffer[:]) // however it ends, the next connection follows
 		}
 		c.Close()
 	}
--- a/internal/fakes/client_protocol.go
+++ b/internal/fakes/client_protocol.go
@@ -16,8 +16,11 @@
 var (
 	errConnectionClosed = errors.New("closed")
 	errConnectionReset  = errors.New("reset")
+	errMalformedAnswer  = errors.New("answer that can't be read")
 )
 
+const answerWords = 4 // tag, status, fields, body
+
 // clientAnswer is a director's answer.
 type clientAnswer struct {
 	status     string
@@ -25,53 +28,77 @@
 	body       string
 }
 
-// requestMessage is the message of the attempt with the present tag.
-func (c *Client) requestMessage(o Object, timeout time.Duration, isRetry bool, key string) []byte {
-	fields := fmt.Sprintf("txn=%016x,limit=%d,item=%s,n=0,shard=%d", c.Rand.Uint64(), max(1, timeout.Milliseconds()), o.ID, o.Group)
-	if isRetry && !c.UnmarkedRetries {
+// requestParameters are what a request's message says, but for its object.
+type requestParameters struct {
+	tag           int
+	transactionID string // 16 hexadecimal digits, new with every attempt
+	timeout       time.Duration
+	isRetry       bool
+	key           string // empty where the content type needs none
+}
+
+// requestMessage returns the message that requests an object.
+func requestMessage(o Object, p requestParameters) []byte {
+	fields := fmt.Sprintf("txn=%s,limit=%d,item=%s,n=0,shard=%d", p.transactionID, max(1, p.timeout.Milliseconds()), o.ID, o.Group)
+	if p.isRetry {
 		fields += ",second=1"
 	}
-	if key != "" {
-		fields += ",unique=" + key
+	if p.key != "" {
+		fields += ",unique=" + p.key
 	}
-	message := redcon.AppendArray(nil, 4)
-	for _, word := range []string{"ASK", strconv.Itoa(c.tag), o.Type.Name, fields} {
+	return messageOf("ASK", strconv.Itoa(p.tag), o.Type.Name, fields)
+}
+
+// cancelMessage returns the message that says that the client no longer waits for a tag's answer.
+func cancelMessage(tag int) []byte { return messageOf("NEVERMIND", strconv.Itoa(tag)) }
+
+func messageOf(words ...string) []byte {
+	message := redcon.AppendArray(nil, len(words))
+	for _, word := range words {
 		message = redcon.AppendBulkString(message, word)
 	}
 	return message
 }
 
-// readAnswer waits for the answer to a tag. Answers to other tags are counted as duplicates.
-func (c *Client) readAnswer(tag int, atMost time.Duration) (clientAnswer, error) {
-	if err := c.conn.SetReadDeadline(time.Now().Add(atMost)); err != nil {
-		return clientAnswer{}, errConnectionClosed
-	}
+// answerReader reads a director's answers. One goroutine uses it.
+type answerReader struct {
+	conn   net.Conn
+	unread []byte // input that is not parsed yet
+	buffer [4096]byte
+}
+
+// next waits for the next answer, until the connection's read deadline at the most; errAnswerOwed then.
+func (r *answerReader) next() (tag int, answer clientAnswer, err error) {
 	for {
-		complete, words, _, rest, err := redcon.ReadNextCommand(c.unread, nil)
+		complete, words, _, rest, err := redcon.ReadNextCommand(r.unread, nil)
 		if err != nil {
-			return clientAnswer{}, err
+			return 0, clientAnswer{}, err
 		}
-		if !complete {
-			if err := c.readMore(); err != nil {
-				return clientAnswer{}, err
-			}
-			continue
+		if complete {
+			return r.take(words, rest)
 		}
-		answered, _ := strconv.Atoi(string(words[0])) // what is no number is the answer to no tag
-		answer := parseAnswer(string(words[1]), string(words[2]), string(words[3]))
-		c.unread = append([]byte(nil), rest...)
-		if answered == tag {
-			return answer, nil
+		if err := r.readMore(); err != nil {
+			return 0, clientAnswer{}, err
 		}
-		c.Cluster.Clients.WithLock(func(s *ClientStats) { s.Duplicates++ })
 	}
 }
 
+// take reads a complete answer, and keeps what follows it.
+func (r *answerReader) take(words [][]byte, rest []byte) (tag int, answer clientAnswer, err error) {
+	if len(words) != answerWords {
+		return 0, answer, errMalformedAnswer
+	}
+	tag, _ = strconv.Atoi(string(words[0])) // what is no number is the answer to no tag
+	answer = parseAnswer(string(words[1]), string(words[2]), string(words[3]))
+	r.unread = append([]byte(nil), rest...)
+	return tag, answer, nil
+}
+
 // readMore reads once from the connection.
-func (c *Client) readMore() error {
-	n, err := c.conn.Read(c.buffer[:])
+func (r *answerReader) readMore() error {
+	n, err := r.conn.Read(r.buffer[:])
 	if n > 0 {
-		c.unread = append(c.unread, c.buffer[:n]...)
+		r.unread = append(r.unread, r.buffer[:n]...)
 		return nil
 	}
 	var netErr net.Error
@@ -86,6 +113,20 @@
 	return nil
 }
 
+// readAnswer waits for the answer to a tag. Answers to other tags are counted as duplicates.
+func (c *Client) readAnswer(tag int, atMost time.Duration) (clientAnswer, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(atMost)); err != nil {
+		return clientAnswer{}, errConnectionClosed
+	}
+	for {
+		answered, answer, err := c.answers.next()
+		if err != nil || answered == tag {
+			return answer, err
+		}
+		c.Cluster.Clients.WithLock(func(s *ClientStats) { s.Duplicates++ })
+	}
+}
+
 // parseAnswer reads an answer's words. The field "later" is the time to stay away, in milliseconds.
 func parseAnswer(status, fields, body string) clientAnswer {
 	answer := clientAnswer{status: status, body: body}
--- a/internal/fakes/cluster.go
+++ b/internal/fakes/cluster.go
@@ -34,6 +34,7 @@
 	attemptsInFlight map[string]int           // by request id, over all nodes
 	effects          map[string]effect        // by idempotency key
 	purgedAt         map[string]time.Duration // by purge key
+	abandonedAt      map[string]time.Duration // when clients gave requests up, by request id; bounded by maxAbandoned
 	violations       Violations
 	instantEffects   instantEffects
 }
@@ -42,6 +43,7 @@
 type Violations struct {
 	DrainedUses        int // requests or fills at a node later than drainDeadline after it was told to drain
 	ConcurrentAttempts int // attempts of one request in flight at two nodes
+	SentAfterLeave     int // attempts that began later than abandonedLimit after their client had left
 	RepeatedEffects    int // keys whose request had its effect twice
 	OverloadedNodes    int // nodes that were pushed over
 }
@@ -63,6 +65,7 @@
 		attemptsInFlight: map[string]int{},
 		effects:          map[string]effect{},
 		purgedAt:         map[string]time.Duration{},
+		abandonedAt:      map[string]time.Duration{},
 	}
 	linkCapacity := func(time.Duration) float64 { return spec.LinkCapacity }
 	for range max(1, spec.Zones) {
--- a/internal/fakes/connection.go
+++ b/internal/fakes/connection.go
@@ -33,6 +33,11 @@
 		return
 	}
 	c := &connection{node: n, conn: conn, outgoing: make(chan []byte, outgoingAnswers), inHand: map[string]*request{}}
+	n.cluster.mu.Lock()
+	if _, listed := n.conns[conn]; listed {
+		n.conns[conn] = c
+	}
+	n.cluster.mu.Unlock()
 	defer c.close()
 	go c.write()
 	c.read()
--- a/internal/fakes/effects.go
+++ b/internal/fakes/effects.go
@@ -1,14 +1,54 @@
 package fakes
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
+// maxKeyEvents is how many events of a key are kept.
+const maxKeyEvents = 32
+
 // effect is what requests with one key have done.
 type effect struct {
-	first time.Duration // when it was last done anew
-	times int
+	first  time.Duration // when it was last done anew
+	times  int
+	events []string // what clients and nodes did with the key, with times
+}
+
+// recordKeyEvent keeps what was done with a key, to be told where it has its effect twice. The caller holds the lock.
+func (c *Cluster) recordKeyEvent(key, format string, args ...any) {
+	e := c.effects[key]
+	if key == "" || len(e.events) >= maxKeyEvents {
+		return
+	}
+	at := c.startedAt.Add(c.now()).UTC().Format("05.000000")
+	e.events = append(e.events, at+" "+fmt.Sprintf(format, args...))
+	c.effects[key] = e
+}
+
+// noteKey is recordKeyEvent for clients, which do not hold the lock.
+func (c *Cluster) noteKey(key, format string, args ...any) {
+	if key == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordKeyEvent(key, format, args...)
+}
+
+// RepeatedEffectEvents returns what was done with the keys that had their effect twice, a line each.
+func (c *Cluster) RepeatedEffectEvents() (events []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(c.effects)) {
+		if e := c.effects[key]; e.times > 1 {
+			events = append(append(events, "key "+key), e.events...)
+		}
+	}
+	return events
 }
 
 // recordEffect counts an effect; a repeat within the window is dropped. The caller holds the lock.
@@ -16,6 +56,7 @@
 	if key == "" {
 		return
 	}
+	c.recordKeyEvent(key, "effect at the origin")
 	e, now := c.effects[key], c.now()
 	if e.times == 0 || now > e.first+t.DedupWindow {
 		e.times++
--- a/internal/fakes/node.go
+++ b/internal/fakes/node.go
@@ -43,9 +43,9 @@
 
 	cluster      *Cluster
 	addr         string
-	listener     net.Listener // nil while the node is down
-	conns        map[net.Conn]bool
-	startedAt    time.Duration // since the cluster's start; negative for long ago
+	listener     net.Listener             // nil while the node is down
+	conns        map[net.Conn]*connection // nil until it is served
+	startedAt    time.Duration            // since the cluster's start; negative for long ago
 	transfers    *sharedCapacity
 	copies       map[string]*list.Element // by object and part; bounded by CacheEntries
 	copyOrder    *list.List               // of *cachedCopy, the latest used first
@@ -103,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	n.listener, n.addr, n.conns = listener, listener.Addr().String(), map[net.Conn]bool{}
+	n.listener, n.addr, n.conns = listener, listener.Addr().String(), map[net.Conn]*connection{}
 	n.copies, n.copyOrder = map[string]*list.Element{}, list.New()
 	n.fills, n.inHand = map[string]*pendingFill{}, 0
 	n.loadWindow = loadWindow{peak: n.loadWindow.peak}
@@ -125,7 +125,7 @@
 		n.cluster.mu.Lock()
 		current := n.listener == listener
 		if current {
-			n.conns[conn] = true
+			n.conns[conn] = nil
 		}
 		n.cluster.mu.Unlock()
 		if !current {
@@ -196,3 +196,14 @@
 	defer n.cluster.mu.Unlock()
 	n.fault, n.slowdown = fault, max(1, slowdown)
 }
+
+// CloseIdle ends the connections on which no request is in hand, as a node does after the time that the settings name.
+func (n *Node) CloseIdle() {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	for conn, c := range n.conns {
+		if c != nil && len(c.inHand) == 0 {
+			closeQuietly(conn)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fakes/pipelined_test.go
@@ -0,0 +1,50 @@
+package fakes
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+)
+
+// A request counts as lost where the director had it before it ended the connection, and answered nothing; not where it was killed.
+func TestPipelinedClientCountsLosses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		killed bool
+		lost   bool
+	}{{"a connection ended under a request", false, true}, {"a director that was killed", true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			cluster := newTestCluster(t, func(*Spec) {})
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer closeQuietly(listener)
+			target := &Target{Addr: listener.Addr().String()}
+			target.SetKilled(c.killed)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					time.AfterFunc(100*time.Millisecond, func() { closeQuietly(conn) })
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			client := &PipelinedClient{
+				Cluster: cluster, Targets: []*Target{target}, LocalAddress: "127.0.0.1", Moments: &Moments{}, Zipf: NewZipf(10, 1),
+				Behavior: Behavior{MaxOpen: 1, MaxBurst: 1, MeanPause: time.Millisecond}, Rand: rand.New(rand.NewPCG(1, 2)),
+			}
+			client.Run(ctx)
+			cluster.Clients.WithLock(func(s *ClientStats) {
+				if lost := s.Lost > 0; lost != c.lost || c.killed && s.LostToKills == 0 {
+					t.Errorf("%d lost, %d to kills", s.Lost, s.LostToKills)
+				}
+			})
+		})
+	}
+}
--- a/internal/fakes/request.go
+++ b/internal/fakes/request.go
@@ -35,6 +35,9 @@
 func (r *request) handle() {
 	n, c := r.node, r.node.cluster
 	r.record()
+	c.checkAbandoned(r.id)
+	c.recordKeyEvent(r.fields["op"], "attempt %s at %s from %s, patience %s ms, by %v", r.id, n.Name, r.fields["from"], r.fields["patience"],
+		r.connection.conn.RemoteAddr())
 	source := c.nodeByName(r.fields["from"])
 	c.checkDrained(n, source)
 	if r.contentType = c.contentTypeNamed(r.fields["sort"]); r.contentType == nil {
@@ -228,6 +231,7 @@
 		return
 	}
 	delete(r.connection.inHand, r.id)
+	r.node.cluster.recordKeyEvent(r.fields["op"], "attempt %s answered: %.40q", r.id, text)
 	r.end()
 	r.connection.send(text)
 	if onAnswer := r.node.cluster.OnAnswer; onAnswer != nil {
--- a/internal/fakes/stats.go
+++ b/internal/fakes/stats.go
@@ -34,6 +34,9 @@
 	LostToKills      int             // attempts that ended with a director that was killed
 	LostToPauses     int             // attempts whose time ended while their director was stopped
 	EarlyRetries     int             // attempts before the time that was told
+	LateAnswers      int             // answers later than lateAnswerLimit after the request's time
+	CrossedEnds      int             // requests that crossed the end of a connection on which none was open
+	EarlyRefusals    int             // connections refused by a director that owed to accept them
 	AttemptSeries    []int           // attempts, by SeriesInterval
 	RetryAfterSeries []int           // the times that clients were told to come back at
 	SuccessSeries    []int           // answers with the object
--- a/internal/fakes/violations_test.go
+++ b/internal/fakes/violations_test.go
@@ -43,6 +43,13 @@
 				dial(t, c.Node(name)).request(t, "same", thumb(1))
 			}
 		}, func(b Violations) int { return b.ConcurrentAttempts }, false, 0},
+		{"a request sent long after its client left", false, func(t *testing.T, c *Cluster) {
+			c.recordAbandoned("late")
+			time.Sleep(abandonedLimit + 20*time.Millisecond)
+			director := dial(t, c.Node("box-0"))
+			director.request(t, "late", thumb(1))
+			director.answer(t)
+		}, func(b Violations) int { return b.SentAfterLeave }, false, 0},
 		{"a pick run twice", false, func(t *testing.T, c *Cluster) {
 			c.ContentTypes[2].DedupWindow = 50 * time.Millisecond
 			director := dial(t, c.Node("box-0"))
--- a/internal/faulttest/clients.go
+++ b/internal/faulttest/clients.go
@@ -1,8 +1,10 @@
 package faulttest
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"tallyproxy/internal/fakes"
@@ -55,3 +57,28 @@
 	h.cancelClients()
 	h.clients.Wait()
 }
+
+// runClients has clients connect and say nothing until the context ends.
+func (h *Harness) runClients(ctx context.Context, clients []*fakes.Client) {
+	var running sync.WaitGroup
+	for _, client := range clients {
+		running.Go(func() { client.Idle(ctx) })
+	}
+	running.Wait()
+}
+
+// StartPipelined starts clients that use their connections in a way; they stop as those of StartClients do.
+func (h *Harness) StartPipelined(count int, behavior fakes.Behavior, random *rand.Rand) {
+	processes := h.Processes()
+	targets := make([]*fakes.Target, 0, len(processes))
+	for _, p := range processes {
+		targets = append(targets, &p.Target)
+	}
+	for i := range count {
+		client := &fakes.PipelinedClient{
+			Cluster: h.Cluster, Targets: targets, Current: i % len(targets), LocalAddress: fmt.Sprintf("127.1.%d.%d", 1+random.IntN(250), 1+i%250),
+			Behavior: behavior, Moments: &h.Moments, Rand: newStream(random), Zipf: h.popularity,
+		}
+		h.clients.Go(func() { client.Run(h.clientsCtx) })
+	}
+}
--- a/internal/faulttest/director.go
+++ b/internal/faulttest/director.go
@@ -216,6 +216,20 @@
 	return err
 }
 
+// endedWithin waits for the end of the process for a time at the most, and says whether it has ended.
+func (d *Director) endedWithin(atMost time.Duration) bool {
+	exited := d.lastExited()
+	timer := time.NewTimer(max(0, atMost))
+	defer timer.Stop()
+	select {
+	case err := <-exited:
+		exited <- err
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // Stop ends the process with SIGTERM and returns its exit status, nil where that is 0. One that does not end in time is killed, and
 // that is an error.
 func (d *Director) Stop() error {
@@ -243,6 +257,12 @@
 	return 0
 }
 
+// DescriptorCount returns how many descriptors the process holds, by Linux's /proc; 0 where that does not tell.
+func (d *Director) DescriptorCount() int {
+	names, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.PID())) // none for a process that has ended
+	return len(names)
+}
+
 // PeakMemoryMB returns the most resident memory, in MB, that any of the director's processes was seen to hold so far. It reads Linux's
 // /proc, where a process that has ended no longer stands: Kill and Stop call it before they end one.
 func (d *Director) PeakMemoryMB() float64 {
--- a/internal/faulttest/golden_test.go
+++ b/internal/faulttest/golden_test.go
@@ -29,7 +29,8 @@
 // TestGoldenKinds holds the names of faults, which stand in schedules and in messages, and their order.
 func TestGoldenKinds(t *testing.T) {
 	want := []Kind{"cut", "groups", "poor", "flap", "kill", "stop", "term", "restart", "twin", "liar", "cold", "purge", "drain", "busy", "zone", "away",
-		"service", "followers", "move", "roll", "replace", "rubbish", "forget"}
+		"service", "followers", "move", "roll", "replace", "rubbish", "forget",
+		"planned", "reloads", "crowd", "hang", "reset", "crash", "late", "idle"}
 	if !reflect.DeepEqual(kinds, want) {
 		t.Errorf("%v", kinds)
 	}
--- a/internal/faulttest/harness.go
+++ b/internal/faulttest/harness.go
@@ -44,6 +44,7 @@
 	ChangeCluster func(*fakes.Spec) // changes the fake cluster before it is made; may be nil
 	BeforeStart   func(*Harness)    // is called once all is there but the directors; may be nil
 	EarlyClients  bool              // clients come before the directors are there
+	AfterLoad     func(*Harness)    // is called once clients have stopped, while directors still run; may be nil
 }
 
 // Process is a director of a harness.
@@ -59,6 +60,8 @@
 	recorder  *recorder  // of its log
 	lifecycle sync.Mutex // held while it is killed or started: two faults may want both at once
 	up        bool       // it was started and neither killed nor asked to end since; under the harness's lock
+	starting  bool       // StartProcess has not returned; under the harness's lock
+	startFDs  int        // descriptors that it held when it first served; under the harness's lock
 }
 
 // Harness is a fleet of directors as processes, with relays between them and fakes of all else that they talk to. Its methods may be
@@ -67,13 +70,16 @@
 	Cluster *fakes.Cluster // caches, origin, command channel and clients' statistics
 	Network *Network       // between the directors
 	History *History       // of all that happens
+	Moments fakes.Moments  // of clients and signals
 
 	spec    Spec
 	dir     string // of all files; removed by Close
 	keyPath string // of the gossip key
 
-	mu        sync.Mutex
-	processes []*Process
+	mu         sync.Mutex
+	processes  []*Process
+	startTimes []time.Duration // that processes took until they served
+	exitErrors []error         // of processes that did not end, or start, as they should
 
 	popularity    *fakes.Zipf     // of objects
 	clientsCtx    context.Context // done once clients are to stop
@@ -220,13 +226,46 @@
 
 // StartProcess starts one director and waits until it serves.
 func (h *Harness) StartProcess(ctx context.Context, p *Process) error {
-	err := p.Start(ctx)
+	begun := time.Now()
 	h.mu.Lock()
-	p.up = err == nil
+	p.starting = true
 	h.mu.Unlock()
+	err := p.Start(ctx)
+	descriptors := p.DescriptorCount()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p.up, p.starting, p.startFDs = err == nil, false, descriptors
+	h.startTimes = append(h.startTimes, time.Since(begun))
 	return err
 }
 
+// sortedStartTimes returns how long all starts so far took.
+func (h *Harness) sortedStartTimes() []time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(slices.Values(h.startTimes))
+}
+
+// recordExit notes the end of a process that was asked to end, where its exit status is not 0.
+func (h *Harness) recordExit(p *Process) {
+	if err := p.Wait(); err != nil {
+		h.recordExitError(p, err)
+	}
+}
+
+func (h *Harness) recordExitError(p *Process, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.exitErrors = append(h.exitErrors, fmt.Errorf("%s: %w\n%s", p.Name, err, p.recorder.tail()))
+}
+
+// isStarting says whether a process was started and does not serve yet.
+func (h *Harness) isStarting(p *Process) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return p.starting
+}
+
 // isUp says whether a process was started, and neither killed nor asked to end since.
 func (h *Harness) isUp(p *Process) bool {
 	h.mu.Lock()
@@ -313,5 +352,7 @@
 	h.Network.Close()
 	h.Cluster.Close()
 	_ = os.RemoveAll(h.dir) // files of a test under the system's temporary folder
-	return errors.Join(failed...)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return errors.Join(append(failed, h.exitErrors...)...)
 }
--- a/internal/faulttest/outcome.go
+++ b/internal/faulttest/outcome.go
@@ -49,6 +49,14 @@
 	ListsRelayed       int        `json:"lists_taken"`        // endpoint lists that came from other directors
 	CallsPerSecond     float64    `json:"calls_per_s"`        // polls of the command channel, of all directors together
 	History            *History   `json:"-"`                  // of the run
+
+	// Of schedules that are drawn for a soak; they stand in no JSON.
+	LateAnswers    int             `json:"-"` // answers later than the request's time and 0.5 s
+	SentAfterLeave int             `json:"-"` // attempts that began over 0.1 s after their client had left
+	EarlyRefusals  int             `json:"-"` // connections refused by a director that owed to accept them
+	EffectEvents   []string        `json:"-"` // what was done with the keys that RepeatedEffects counts
+	CrossedEnds    int             `json:"-"` // requests that crossed the end of a resting connection: no violation
+	StartTimes     []time.Duration `json:"-"` // that processes took until they served, sorted
 }
 
 // RuleViolations returns how often the rules about answers, copies, drains and processes were broken. What else must not be has counts of
@@ -66,7 +74,8 @@
 		{"lost", o.Lost}, {"double_final", o.DuplicateAnswers}, {"wrong_bytes", o.WrongBodies}, {"effects_twice", o.RepeatedEffects},
 		{"pulls_together", o.ConcurrentAttempts}, {"drains_broken", o.DrainViolations}, {"purges_broken", o.PurgeViolations},
 		{"fallen", o.OverloadedNodes}, {"crashes", o.Crashes}, {"panics", o.Panics}, {"parts_over", o.QuotaViolations},
-		{"unended", bit(o.Incomplete)},
+		{"unended", bit(o.Incomplete)}, {"late", o.LateAnswers}, {"sent_after_leave", o.SentAfterLeave}, {"refused_early", o.EarlyRefusals},
+		{"slow_start", bit(!o.startedInTime())},
 	} {
 		if rule.count > 0 {
 			broken = append(broken, fmt.Sprintf("%s %d", rule.key, rule.count))
@@ -75,6 +84,21 @@
 	return broken
 }
 
+// Readiness that the operators' gate asks for.
+const (
+	readyWithin = 10 * time.Second
+	readyTenths = 9 // of ten starts
+)
+
+// startedInTime says whether nine in ten starts took no longer than readyWithin.
+func (o Outcome) startedInTime() bool {
+	late := 0
+	for _, took := range o.StartTimes {
+		late += bit(took > readyWithin)
+	}
+	return 10*late <= (10-readyTenths)*len(o.StartTimes)
+}
+
 // countEvents counts the events that stand in the outcome as they are.
 func (o *Outcome) countEvents(entries []Entry) {
 	for _, e := range entries {
@@ -116,6 +140,7 @@
 	violations := cluster.Violations()
 	o.RepeatedEffects, o.OverloadedNodes = violations.RepeatedEffects, violations.OverloadedNodes
 	o.DrainViolations, o.ConcurrentAttempts = violations.DrainedUses, violations.ConcurrentAttempts
+	o.SentAfterLeave, o.EffectEvents = violations.SentAfterLeave, cluster.RepeatedEffectEvents()
 	for _, n := range cluster.Nodes {
 		if peak, _ := n.PeakLoad(); n.Kind != fakes.Origin {
 			o.ColdPeakLoad = max(o.ColdPeakLoad, roundTo(peak, 1000))
@@ -127,6 +152,7 @@
 		if len(stats.LostReasons) > 0 {
 			o.LostReasons = fmt.Sprint(stats.LostReasons)
 		}
+		o.LateAnswers, o.EarlyRefusals, o.CrossedEnds = stats.LateAnswers, stats.EarlyRefusals, stats.CrossedEnds
 		o.addRequests(stats.Requests, lastFault)
 	})
 }
--- a/internal/faulttest/play.go
+++ b/internal/faulttest/play.go
@@ -67,6 +67,14 @@
 	{ReplaceCaches, func(r faultRun) fault { return replaceCaches{r} }},
 	{MalformedRelay, func(r faultRun) fault { return &malformedRelay{faultRun: r} }},
 	{ChannelRollback, func(r faultRun) fault { return channelRollback{r} }},
+	{PlannedRestart, func(r faultRun) fault { return plannedRestart{r} }},
+	{Reloads, func(r faultRun) fault { return reloads{r} }},
+	{Crowd, func(r faultRun) fault { return crowd{r} }},
+	{HangingNode, func(r faultRun) fault { return faultyNodes{r, fakes.FaultNoAnswer} }},
+	{ResettingNode, func(r faultRun) fault { return faultyNodes{r, fakes.FaultReset} }},
+	{CrashedNode, func(r faultRun) fault { return crashedNodes{r, false} }},
+	{LateNode, func(r faultRun) fault { return crashedNodes{r, true} }},
+	{IdleCloses, func(r faultRun) fault { return idleCloses{r} }},
 }
 
 // kinds are those of faultTypes, in their order.
--- a/internal/faulttest/run.go
+++ b/internal/faulttest/run.go
@@ -28,6 +28,9 @@
 	}
 	r.outcome = &outcome
 	r.play(ctx, underLoad)
+	if spec.AfterLoad != nil {
+		spec.AfterLoad(r.harness)
+	}
 	r.measure()
 	r.finish()
 	return outcome, nil
@@ -120,7 +123,7 @@
 	if err := r.harness.Close(); err != nil {
 		o.Crashes, o.CrashDetail = strings.Count(err.Error(), "\n")+1, err.Error()
 	}
-	o.History = r.harness.History
+	o.History, o.StartTimes = r.harness.History, r.harness.sortedStartTimes()
 	o.addClusterStats(r.harness.Cluster, r.lastFault)
 	entries := r.harness.History.Entries()
 	o.countEvents(entries)
--- a/internal/faulttest/schedule.go
+++ b/internal/faulttest/schedule.go
@@ -45,6 +45,18 @@
 	ChannelRollback    Kind = "forget"  // the channel restarts without its last event
 )
 
+// Kinds of faults of planned restarts, of the director's limits, and of single nodes. TestSoak draws them.
+const (
+	PlannedRestart Kind = "planned" // Targets get signals in series, SIGTERM among them, SIGKILL at the earliest, and are started again
+	Reloads        Kind = "reloads" // Targets get SIGHUP several times, with files that are replaced; with Rate 1 the channel moves first
+	Crowd          Kind = "crowd"   // as many idle clients as Rate connect to each of Targets
+	HangingNode    Kind = "hang"    // the nodes Targets take requests and do not answer
+	ResettingNode  Kind = "reset"   // the nodes Targets reset connections under requests
+	CrashedNode    Kind = "crash"   // the nodes Targets are killed, and start cold at the end
+	LateNode       Kind = "late"    // the nodes Targets are announced as up while nothing listens there; they start at the end
+	IdleCloses     Kind = "idle"    // the nodes Targets close idle connections, every 50 ms
+)
+
 // Fault is one thing that goes wrong. Which fields a kind uses, stands with the kind.
 type Fault struct {
 	Kind    Kind    `json:"kind"`             // of the fault
@@ -78,6 +90,9 @@
 	return string(text)
 }
 
+// nodeKinds are the kinds whose Targets are numbers of cache nodes or zones.
+var nodeKinds = []Kind{ColdCaches, Drain, ZoneLoss, HangingNode, ResettingNode, CrashedNode, LateNode, IdleCloses}
+
 // Validate returns what is wrong with a schedule; nil where it can be played.
 func (s Schedule) Validate() error {
 	if s.Directors < 1 || s.Directors > maxDirectors || s.LengthMS < 0 || s.LengthMS > maxLengthMS {
@@ -90,7 +105,7 @@
 		if f.AtMS < 0 || f.ForMS < 0 || f.AtMS+f.ForMS > s.LengthMS {
 			return fmt.Errorf("faults[%d]: at_ms %d, for_ms %d: not within length_ms %d", i, f.AtMS, f.ForMS, s.LengthMS)
 		}
-		if f.Kind == ColdCaches || f.Kind == Drain || f.Kind == ZoneLoss {
+		if slices.Contains(nodeKinds, f.Kind) {
 			continue // their numbers are not of directors
 		}
 		for _, director := range slices.Concat(slices.Concat(f.Groups...), f.Targets, f.Peers) {
--- /dev/null
+++ b/internal/faulttest/soak_schedule_test.go
@@ -0,0 +1,156 @@
+package faulttest
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"tallyproxy/internal/fakes"
+)
+
+// Figures of a soak's schedules.
+const (
+	soakStream      = 4711 // second seed of what soakSchedule draws
+	soakLengthMS    = 9500
+	soakCacheNodes  = 6
+	soakFirstMS     = 700  // when the first planned restart begins, at the earliest
+	soakSecondMS    = 5200 // and the second
+	soakRestartSpan = 800  // in which a restart begins, ms
+	soakTroubleSpan = 2500 // longest fault of a node, ms
+	soakCrowd       = 220  // idle clients of a crowd: more than a director may hold
+)
+
+// soakNodeTroubles are the faults of nodes that a soak draws from.
+var soakNodeTroubles = []Kind{HangingNode, HangingNode, ResettingNode, CrashedNode, LateNode, IdleCloses, ColdCaches}
+
+// soakSchedule draws a schedule from a seed: planned restarts, reloads and what may happen around them, on one director or a few. The
+// same seed gives the same schedule.
+func soakSchedule(seed uint64) Schedule {
+	random := rand.New(rand.NewPCG(seed, soakStream))
+	directors := 1
+	if random.IntN(2) == 0 {
+		directors = 2 + random.IntN(2)
+	}
+	d := soakDrawer{random, directors}
+	s := Schedule{Seed: seed, Directors: directors, LengthMS: soakLengthMS}
+	s.Faults = slices.Concat(d.restarts(), d.reloads(), d.nodeTroubles(), d.channelTroubles(), d.peerTroubles())
+	if random.IntN(3) == 0 {
+		at := random.IntN(soakFirstMS + soakRestartSpan)
+		s.Faults = append(s.Faults, Fault{Kind: Crowd, AtMS: at, ForMS: 3000 + random.IntN(4000), Targets: []int{random.IntN(directors)}, Rate: soakCrowd})
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.AtMS - b.AtMS })
+	return s
+}
+
+// soakDrawer draws the faults of a soak.
+type soakDrawer struct {
+	random    *rand.Rand
+	directors int
+}
+
+// span draws the begin and the duration of a fault of a longest duration, in ms.
+func (d soakDrawer) span(longest int) (at, duration int) {
+	at = d.random.IntN(soakLengthMS - longest)
+	return at, minDrawnMS + d.random.IntN(longest-minDrawnMS)
+}
+
+func (d soakDrawer) restarts() (faults []Fault) {
+	for _, from := range []int{soakFirstMS, soakSecondMS} {
+		targets := d.random.Perm(d.directors)[:1+d.random.IntN(d.directors)]
+		faults = append(faults, Fault{Kind: PlannedRestart, AtMS: from + d.random.IntN(soakRestartSpan), Targets: slices.Sorted(slices.Values(targets))})
+	}
+	return faults
+}
+
+func (d soakDrawer) reloads() (faults []Fault) {
+	for range 1 + d.random.IntN(2) {
+		f := Fault{Kind: Reloads, AtMS: d.random.IntN(soakLengthMS - 1000), Targets: []int{d.random.IntN(d.directors)}}
+		f.Rate = float64(bit(d.random.IntN(2) == 0))
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+func (d soakDrawer) nodeTroubles() (faults []Fault) {
+	for range 2 + d.random.IntN(3) {
+		f := Fault{Kind: soakNodeTroubles[d.random.IntN(len(soakNodeTroubles))], Targets: d.random.Perm(soakCacheNodes)[:1+d.random.IntN(2)]}
+		f.AtMS, f.ForMS = d.span(soakTroubleSpan)
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+func (d soakDrawer) channelTroubles() (faults []Fault) {
+	if d.random.IntN(2) == 0 {
+		f := Fault{Kind: ChannelOutage, Rate: float64(1 + d.random.IntN(3))}
+		f.AtMS, f.ForMS = d.span(soakTroubleSpan)
+		faults = append(faults, f)
+	}
+	if d.random.IntN(2) == 0 {
+		f := Fault{Kind: Drain}
+		f.AtMS, f.ForMS = d.span(5000)
+		faults = append(faults, f)
+	}
+	for range d.random.IntN(3) {
+		faults = append(faults, Fault{Kind: Purge, AtMS: d.random.IntN(soakLengthMS)})
+	}
+	return faults
+}
+
+func (d soakDrawer) peerTroubles() (faults []Fault) {
+	if d.directors > 1 && d.random.IntN(2) == 0 {
+		f := Fault{Kind: CutLinks, Targets: []int{0}, Peers: []int{1}, Both: d.random.IntN(2) == 0}
+		f.AtMS, f.ForMS = d.span(soakTroubleSpan)
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// soakSpec is a harness for a soak's schedule.
+func soakSpec(argv []string, s Schedule) Spec {
+	return Spec{
+		Argv: argv, CacheNodes: soakCacheNodes, WarmCaches: true, LoadAfter: time.Second, NoPeers: s.Directors == 1 || s.Seed%3 == 0,
+		ChangeCluster: func(c *fakes.Spec) {
+			c.ContentTypes[0].MeanTransfer, c.ContentTypes[1].MeanTransfer = 8*time.Millisecond, 40*time.Millisecond
+			c.ContentTypes[0].RequestShare, c.ContentTypes[1].RequestShare, c.ContentTypes[2].RequestShare = 0.5, 0.38, 0.12
+		},
+	}
+}
+
+// soakClients is how many clients of a soak use their connections in a way.
+type soakClients struct {
+	count    int
+	behavior fakes.Behavior
+}
+
+// soakMix are the clients of a soak.
+var soakMix = []soakClients{
+	{10, fakes.Behavior{MaxOpen: 1, MaxBurst: 1, MeanPause: 200 * time.Millisecond, RepeatShare: 0.5}},
+	{4, fakes.Behavior{MaxOpen: 32, MaxBurst: 32, MeanPause: 1500 * time.Millisecond, RepeatShare: 0.5, Aimed: true}},
+	{60, fakes.Behavior{MaxOpen: 4, MaxBurst: 1, MeanPause: 3 * time.Second, Aimed: true}},
+	{4, fakes.Behavior{MaxOpen: 4, MaxBurst: 2, MeanPause: 250 * time.Millisecond, SlowShare: 1, Aimed: true}},
+	{4, fakes.Behavior{MaxOpen: 8, MaxBurst: 4, MeanPause: 400 * time.Millisecond, CancelShare: 0.5}},
+	{4, fakes.Behavior{MaxOpen: 8, MaxBurst: 4, MeanPause: 300 * time.Millisecond, LeaveShare: 0.3}},
+}
+
+// startSoakClients starts the clients of a soak.
+func (h *Harness) startSoakClients() {
+	random := rand.New(rand.NewPCG(h.Cluster.Seed, clientStream))
+	for _, clients := range soakMix {
+		h.StartPipelined(clients.count, clients.behavior, random)
+	}
+}
+
+// Every seed gives a schedule that can be played, and the same one each time.
+func TestSoakSchedule(t *testing.T) {
+	for seed := range uint64(2000) {
+		s := soakSchedule(seed)
+		if err := s.Validate(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if again := soakSchedule(seed); again.String() != s.String() {
+			t.Fatalf("seed %d: %v, then %v", seed, s, again)
+		}
+	}
+}
