--- a/internal/faulttest/check_membership.go
+++ b/internal/faulttest/check_membership.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/internal/logevent"
 	"tallyproxy/membership"
 )
@@ -168,8 +169,8 @@
 			disruptions--
 			clearSince = e.At
 		case e.Event == logevent.PeerState && up[e.Attributes["name"]] && disruptions == 0 && e.At.Sub(clearSince) > minCalm:
-			failed += bit(e.Attributes["state"] == stateFailed)
-			suspected += bit(e.Attributes["state"] == stateSuspected)
+			failed += boolean.Int(e.Attributes["state"] == stateFailed)
+			suspected += boolean.Int(e.Attributes["state"] == stateSuspected)
 		}
 	}
 	return failed, suspected
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/internal/logevent"
 	"tallyproxy/stall"
 )
@@ -46,7 +47,7 @@
 			func(t *testing.T, o Outcome) {
 				changes := 0 // of whether its view is unconfirmed
 				for _, e := range o.History.Entries() {
-					changes += bit(e.Event == logevent.ViewUnconfirmed && e.Director == 1)
+					changes += boolean.Int(e.Event == logevent.ViewUnconfirmed && e.Director == 1)
 					if e.Director == 1 && e.Event == logevent.GossipReceived && changes == 2 {
 						t.Errorf("n1 takes its view for confirmed, and only then receives a purge that was published before: %v", e.Attributes)
 						break
@@ -64,7 +65,7 @@
 			}
 			raised := 0
 			for _, e := range o.History.Entries() {
-				raised += bit(e.Event == logevent.Quota && e.Attributes["zone"] == "2")
+				raised += boolean.Int(e.Event == logevent.Quota && e.Attributes["zone"] == "2")
 			}
 			if raised == 0 {
 				t.Error("none of the three that were left used more than its fixed quota")
--- a/internal/faulttest/harness.go
+++ b/internal/faulttest/harness.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/internal/fakes"
 	"tallyproxy/internal/status"
 )
@@ -306,7 +307,7 @@
 		}
 		members := 1
 		for _, peer := range report.Membership.Peers {
-			members += bit(peer.State == stateUp)
+			members += boolean.Int(peer.State == stateUp)
 		}
 		if members != len(up) || digest != "" && digest != report.Membership.Digest {
 			return false
--- a/internal/faulttest/outcome.go
+++ b/internal/faulttest/outcome.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/internal/fakes"
 	"tallyproxy/internal/logevent"
 	"tallyproxy/membership"
@@ -74,8 +75,8 @@
 		{"lost", o.Lost}, {"double_final", o.DuplicateAnswers}, {"wrong_bytes", o.WrongBodies}, {"effects_twice", o.RepeatedEffects},
 		{"pulls_together", o.ConcurrentAttempts}, {"drains_broken", o.DrainViolations}, {"purges_broken", o.PurgeViolations},
 		{"fallen", o.OverloadedNodes}, {"crashes", o.Crashes}, {"panics", o.Panics}, {"parts_over", o.QuotaViolations},
-		{"unended", bit(o.Incomplete)}, {"late", o.LateAnswers}, {"sent_after_leave", o.SentAfterLeave}, {"refused_early", o.EarlyRefusals},
-		{"slow_start", bit(!o.startedInTime())},
+		{"unended", boolean.Int(o.Incomplete)}, {"late", o.LateAnswers}, {"sent_after_leave", o.SentAfterLeave}, {"refused_early", o.EarlyRefusals},
+		{"slow_start", boolean.Int(!o.startedInTime())},
 	} {
 		if rule.count > 0 {
 			broken = append(broken, fmt.Sprintf("%s %d", rule.key, rule.count))
@@ -94,7 +95,7 @@
 func (o Outcome) startedInTime() bool {
 	late := 0
 	for _, took := range o.StartTimes {
-		late += bit(took > readyWithin)
+		late += boolean.Int(took > readyWithin)
 	}
 	return 10*late <= (10-readyTenths)*len(o.StartTimes)
 }
@@ -163,7 +164,7 @@
 	succeeded := 0
 	for _, request := range requests {
 		o.Requests++
-		succeeded += bit(request.Succeeded)
+		succeeded += boolean.Int(request.Succeeded)
 		if request.StartedAt >= lastFault {
 			series.add(request.StartedAt-lastFault, request.Succeeded)
 		}
@@ -192,7 +193,7 @@
 		s.begun, s.succeeded = append(s.begun, 0), append(s.succeeded, 0)
 	}
 	s.begun[i]++
-	s.succeeded[i] += bit(succeeded)
+	s.succeeded[i] += boolean.Int(succeeded)
 }
 
 // window returns the sums over the window that begins at an interval.
--- a/internal/faulttest/schedule.go
+++ b/internal/faulttest/schedule.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"tallyproxy/internal/boolean"
 )
 
 // Kind names a kind of fault. Schedules in files and flags of tallybench spell them as here.
@@ -118,7 +120,7 @@
 }
 
 // Zones returns how many zones the fleet has: two where one is to be lost.
-func (s Schedule) Zones() int { return 1 + bit(s.has(ZoneLoss)) }
+func (s Schedule) Zones() int { return 1 + boolean.Int(s.has(ZoneLoss)) }
 
 // has says whether the schedule has a fault of a kind.
 func (s Schedule) has(kind Kind) bool {
@@ -147,11 +149,3 @@
 
 // millis is a number of milliseconds as a duration.
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
-// bit counts a condition: 1 where it holds.
-func bit(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
--- a/internal/faulttest/soak_schedule_test.go
+++ b/internal/faulttest/soak_schedule_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"tallyproxy/internal/boolean"
 	"tallyproxy/internal/fakes"
 )
 
@@ -66,7 +67,7 @@
 func (d soakDrawer) reloads() (faults []Fault) {
 	for range 1 + d.random.IntN(2) {
 		f := Fault{Kind: Reloads, AtMS: d.random.IntN(soakLengthMS - 1000), Targets: []int{d.random.IntN(d.directors)}}
-		f.Rate = float64(bit(d.random.IntN(2) == 0))
+		f.Rate = float64(boolean.Int(d.random.IntN(2) == 0))
 		faults = append(faults, f)
 	}
 	return faults
