agent: Director.Stop tells its context's end from the director's

Cause: Stop took any error of the status for the director's end, also that its own context was over while the status hung; a caller could go on as if the director were gone.

Change: the context is looked at first. TestStopTellsItsContextsEnd (a status that nobody answers) gets nil on the text before and the context's error now.

--- a/internal/agent/director.go
+++ b/internal/agent/director.go
@@ -137,13 +137,17 @@
 }
 
 // Stop tells the director to shut down and waits until it has answered all requests that it has taken. It returns errDidNotExit where
-// the director or the context takes too long.
+// the director takes too long, and the context's error where that ends before.
 func (d *Director) Stop(ctx context.Context) error {
 	if err := d.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	for end := time.Now().Add(shutdownTimeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(reportInterval) {
-		if _, err := d.Report(ctx); err != nil {
+	for end := time.Now().Add(shutdownTimeout); time.Now().Before(end); time.Sleep(reportInterval) {
+		_, err := d.Report(ctx)
+		switch {
+		case ctx.Err() != nil: // whether the director has ended is not known
+			return ctx.Err()
+		case err != nil:
 			return nil
 		}
 	}
