socket: no wait for a processor between the look and the half-close

Cause: CloseWriteIfEmpty made two system calls of package syscall. After each of them the Go scheduler may have given the processor to another goroutine; at a shutdown hundreds wait to run on one processor, and what came until the goroutine had its turn again was acknowledged, not read, and then cut off by the half-close.

Both calls return at once and so may be raw. What is left is that the kernel itself takes the processor away between them. The test is TestSoak; its check is as it was.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,17 +24,19 @@
 }
 
 // CloseWriteIfEmpty closes the sending side of a connection, unless the kernel holds received bytes that were not read yet, and reports
-// whether it did. The look and the close are system calls in a row, so that as little as can be arrives between them. A connection
-// without a file descriptor counts as closed.
+// whether it did. The look and the close are two raw system calls in a row: after any other the goroutine may have to wait for a
+// processor, and what arrives meanwhile would be lost. A connection without a file descriptor counts as closed.
 func CloseWriteIfEmpty(conn net.Conn) (closed bool) {
 	closed = true
 	withDescriptor(conn, func(descriptor int) {
 		var buffer [1]byte
-		if n, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == nil && n > 0 {
+		n, _, errno := unix.RawSyscall6(unix.SYS_RECVFROM, uintptr(descriptor), uintptr(unsafe.Pointer(&buffer[0])), uintptr(len(buffer)),
+			unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
+		if errno == 0 && n > 0 {
 			closed = false
 			return
 		}
-		_ = syscall.Shutdown(descriptor, syscall.SHUT_WR) // fails only where the other side has reset the connection
+		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, uintptr(descriptor), unix.SHUT_WR, 0) // fails only where the other side has reset it
 	})
 	return closed
 }
