downstream: the reader alone evicts, since it knows what lies on the way

Cause: evictIdle looked into the socket and closed the connection from the goroutine that accepts. A request that the reader had taken from the socket and not yet noted as pending was in neither place; and a close from outside takes hold only once the reader has left its read, so that what came meanwhile was cut off too.

Now the connection is marked and its reader woken, and the reader looks, half-closes and closes, as it does for the end of a drain.

TestRequestThatWasReadIsNotEvicted holds a reader after its read: "nothing came" on the text before.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -24,6 +24,7 @@
 	queuedBytes     int             // bytes in the queue or being written
 	phase           connPhase
 	input           inputMode
+	evicting        bool      // the reader is to close the connection if it is idle
 	messageReceived bool      // a complete message came
 	suspect         bool      // set by MarkSuspect, until a request succeeds
 	badRequests     int       // requests that could not be used
--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -32,9 +32,9 @@
 	return cmp.Or(int(a.rank-b.rank), a.lastUsed.Compare(b.lastUsed))
 }
 
-// evictIdle closes up to limit connections that have no pending request, and returns how many. Those that were used within PollRetry
+// evictIdle ends up to limit connections that have no pending request, and returns how many. Those that were used within PollRetry
 // are spared, since a request may be on its way; so are, within MaxDecisionAge, those whose client was told to retry later.
-// Connections that are closed already and about to leave the table count towards the limit.
+// Connections that are about to leave the table already count towards the limit.
 func (s *Server) evictIdle(limit int) (evicted int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,10 +42,10 @@
 	var candidates []evictionCandidate // the best so far, in order, at most limit
 	for c := range s.conns {
 		c.mu.Lock()
-		closed := c.phase == phaseClosed
+		leaving := c.phase == phaseClosed || c.evicting
 		candidate, ok := c.evictionCandidateLocked(now)
 		c.mu.Unlock()
-		if closed {
+		if leaving {
 			limit--
 		}
 		if !ok {
@@ -56,7 +56,7 @@
 		candidates = candidates[:min(len(candidates), max(0, limit))]
 	}
 	for _, candidate := range candidates[:min(len(candidates), max(0, limit))] {
-		if candidate.conn.closeIfIdle() {
+		if candidate.conn.evict() {
 			evicted++
 		}
 	}
@@ -73,7 +73,7 @@
 	case c.retryNotBefore.After(now.Add(timeouts.PollRetry.Duration() / 2)):
 		candidate.rank = rankRetryLater
 	}
-	if !c.idleLocked() || c.phase == phaseClosed {
+	if !c.idleLocked() || c.phase == phaseClosed || c.evicting {
 		return candidate, false
 	}
 	if c.lastUsed.Before(now.Add(-timeouts.PollRetry.Duration())) {
@@ -84,11 +84,27 @@
 	return candidate, candidate.rank == rankRetryLater && received
 }
 
-// closeIfIdle closes the connection unless a request came meanwhile, and reports whether it did.
-func (c *Conn) closeIfIdle() bool {
+// evict has the reader close the connection, unless a request came meanwhile, and reports whether it may. The reader alone knows that no
+// request lies between the socket and the pending ones.
+func (c *Conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if data, _ := socket.PendingInput(c.netConn); data || !c.idleLocked() {
+	if !c.idleLocked() || c.phase == phaseClosed {
+		return false
+	}
+	c.evicting = true
+	c.wakeReader()
+	return true
+}
+
+// tryEvictLocked closes a connection that is to be evicted, if it is still idle and no input lies in the socket, and reports whether it
+// did. The caller is the reader, and holds c.mu.
+func (c *Conn) tryEvictLocked() bool {
+	if !c.evicting {
+		return false
+	}
+	c.evicting = false
+	if !c.idleLocked() || c.phase < phaseHalfClosed && !socket.CloseWriteIfEmpty(c.netConn) {
 		return false
 	}
 	c.closeLocked()
--- a/internal/downstream/evict_test.go
+++ b/internal/downstream/evict_test.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"bufio"
+	"net"
 	"testing"
 	"time"
 
@@ -101,3 +103,38 @@
 		t.Errorf("%d ended later", n)
 	}
 }
+
+// pausingConn is a connection whose reader is held up after each read, until the test lets it go on.
+type pausingConn struct {
+	*net.TCPConn
+	read   chan struct{} // an element for each read
+	resume chan struct{} // closed: readers go on
+}
+
+func (c pausingConn) Read(buffer []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(buffer)
+	if n > 0 {
+		c.read <- struct{}{}
+		<-c.resume
+	}
+	return n, err
+}
+
+// TestRequestThatWasReadIsNotEvicted guards against losing a request that the reader has taken from the socket and not noted yet when the
+// connection is chosen for eviction.
+func TestRequestThatWasReadIsNotEvicted(t *testing.T) {
+	b := startServer(t, 8, 64, 10*time.Second, func(m *policy.Timeouts) { m.PollRetry = policy.Second / 1000 })
+	clientEnd, serverEnd := connectedPair(t)
+	paused := pausingConn{serverEnd.(*net.TCPConn), make(chan struct{}, 16), make(chan struct{})}
+	b.start(newConn(b.Server, b.testHandler, paused))
+	client := testClient{clientEnd, bufio.NewReader(clientEnd)}
+	client.send(t, requestFrame("1"))
+	receive(t, paused.read)
+	time.Sleep(2 * b.timeouts.PollRetry.Duration())
+	b.evictIdle(1)
+	close(paused.resume)
+	b.nextConn(t, 1).Fail(1)
+	if got := client.answer(t); got != "1 500  " {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -122,15 +122,15 @@
 	c.received = c.received[:0]
 }
 
-// wakeReader ends a read that waits, so that the reader sees whether to half-close the connection.
+// wakeReader ends a read that waits, so that the reader sees whether to half-close or evict the connection.
 func (c *Conn) wakeReader() { c.setReadDeadline(time.Unix(1, 0)) }
 
 // setReadDeadline sets when a read that waits ends; the zero time is never. Where it can't be set the connection is closed, and reads end
 // alike.
 func (c *Conn) setReadDeadline(deadline time.Time) { _ = c.netConn.SetReadDeadline(deadline) }
 
-// handleReadError deals with a read that failed, and reports whether to read on. A read that was ended by wakeReader may half-close the
-// connection. The reader alone does so, since it alone knows that nothing lies between the socket and the pending requests: what was
+// handleReadError deals with a read that failed, and reports whether to read on. A read that was ended by wakeReader may half-close or
+// evict the connection. The reader alone does so, since it alone knows that nothing lies between the socket and the pending requests: what was
 // sent before the client is told that nothing more comes is taken, what is sent later is not.
 func (c *Conn) handleReadError(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -138,6 +138,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.tryEvictLocked() {
+		return false
+	}
 	now := time.Now()
 	if c.phase >= phaseHalfClosed {
 		// A client that reads slowly keeps the connection while responses are on their way.
