fakes: a node judges what came after a client left by when it arrived

Cause: the node, not the director. It compared the time at which its own goroutine came to handle the attempt, after it had waited for a processor and for the cluster's lock; on a busy machine that is over 0.1 s after the attempt had come.

Nodes now read with the kernel's time stamp of what they read. It is never earlier than the arrival, so that the check is as strict: the same limit, on the time that the director answers for. Failures of the soak tell both times, and times by the machine's clock as directors log them.

--- a/internal/fakes/cluster.go
+++ b/internal/fakes/cluster.go
@@ -35,6 +35,7 @@
 	effects          map[string]effect        // by idempotency key
 	purgedAt         map[string]time.Duration // by purge key
 	abandonedAt      map[string]time.Duration // when clients gave requests up, by request id; bounded by maxAbandoned
+	lateEvents       []string                 // of violations.SentAfterLeave, maxLateEvents at the most
 	violations       Violations
 	instantEffects   instantEffects
 }
@@ -144,6 +145,9 @@
 
 func (c *Cluster) now() time.Duration { return time.Since(c.startedAt) }
 
+// clockTime is the present seconds by the machine's clock, as directors log them.
+func (c *Cluster) clockTime() string { return time.Now().UTC().Format("05.000000") }
+
 // Violations returns what broke a rule so far.
 func (c *Cluster) Violations() Violations {
 	c.mu.Lock()
--- a/internal/fakes/connection.go
+++ b/internal/fakes/connection.go
@@ -40,7 +40,9 @@
 	n.cluster.mu.Unlock()
 	defer c.close()
 	go c.write()
-	c.read()
+	if reader, err := newArrivalReader(conn); err == nil { // else the director has reset the connection
+		c.read(reader)
+	}
 }
 
 // close ends the connection, and the requests that came on it.
@@ -68,8 +70,8 @@
 }
 
 // read takes messages until the connection ends or breaks.
-func (c *connection) read() {
-	for in := bufio.NewReader(c.conn); ; {
+func (c *connection) read(reader *arrivalReader) {
+	for in := bufio.NewReader(reader); ; {
 		line, err := in.ReadString('\n')
 		if err != nil {
 			return
@@ -81,12 +83,12 @@
 				return
 			}
 		}
-		c.handle(parts)
+		c.handle(parts, c.node.cluster.now()-reader.waited)
 	}
 }
 
-// handle takes one message, cut into parts. What is not known is passed over.
-func (c *connection) handle(parts []string) {
+// handle takes one message, cut into parts, which arrived at a time since the cluster's start. What is not known is passed over.
+func (c *connection) handle(parts []string, arrivedAt time.Duration) {
 	c.node.cluster.mu.Lock()
 	defer c.node.cluster.mu.Unlock()
 	switch {
@@ -98,7 +100,7 @@
 	case len(parts) == 2 && (parts[0] == "there" || parts[0] == "busy") && c.node.fault != FaultNoAnswer:
 		c.send(fmt.Sprintf("%s well - 0\r\n\r\n", parts[1]))
 	case len(parts) == 4 && parts[0] == "want":
-		r := &request{node: c.node, connection: c, id: parts[1], fields: parseFields(parts[2])}
+		r := &request{node: c.node, connection: c, id: parts[1], fields: parseFields(parts[2]), arrivedAt: arrivedAt}
 		c.inHand[r.id] = r
 		r.handle()
 	}
--- a/internal/fakes/effects.go
+++ b/internal/fakes/effects.go
@@ -24,8 +24,7 @@
 	if key == "" || len(e.events) >= maxKeyEvents {
 		return
 	}
-	at := c.startedAt.Add(c.now()).UTC().Format("05.000000")
-	e.events = append(e.events, at+" "+fmt.Sprintf(format, args...))
+	e.events = append(e.events, c.clockTime()+" "+fmt.Sprintf(format, args...))
 	c.effects[key] = e
 }
 
--- a/internal/fakes/request.go
+++ b/internal/fakes/request.go
@@ -23,6 +23,7 @@
 	connection  *connection
 	id          string
 	fields      map[string]string
+	arrivedAt   time.Duration // at the node's machine, since the cluster's start
 	contentType *ContentType
 	transfers   []*transfer
 	ended       bool // answered, cancelled, or its connection has ended
@@ -35,9 +36,9 @@
 func (r *request) handle() {
 	n, c := r.node, r.node.cluster
 	r.record()
-	c.checkAbandoned(r.id)
-	c.recordKeyEvent(r.fields["op"], "attempt %s at %s from %s, patience %s ms, by %v", r.id, n.Name, r.fields["from"], r.fields["patience"],
-		r.connection.conn.RemoteAddr())
+	c.checkAbandoned(r)
+	c.recordKeyEvent(r.fields["op"], "attempt %s at %s from %s, patience %s ms, by %v, arrived %v before", r.id, n.Name, r.fields["from"],
+		r.fields["patience"], r.connection.conn.RemoteAddr(), c.now()-r.arrivedAt)
 	source := c.nodeByName(r.fields["from"])
 	c.checkDrained(n, source)
 	if r.contentType = c.contentTypeNamed(r.fields["sort"]); r.contentType == nil {
--- a/internal/fakes/session.go
+++ b/internal/fakes/session.go
@@ -239,9 +239,9 @@
 func (s *session) lose(tag int, r *openRequest, cause string) {
 	now := s.client.Cluster.Now()
 	ago := func(at time.Duration) time.Duration { return (now - at).Round(time.Microsecond) }
-	reason := fmt.Sprintf("%s tag %d (%s, id %s, repeat %v) sent %v ago at %v: %s; connection opened %v ago, SIGTERM %v ago", s.target.Addr, tag,
-		r.object.Type.Name, r.id, r.isRepeat, ago(r.sentAt), s.client.Cluster.startedAt.Add(r.sentAt).UTC().Format("05.000000"), cause,
-		ago(s.opened), ago(s.target.terminated()))
+	reason := fmt.Sprintf("%s tag %d (%s, id %s, repeat %v) sent %v before %v: %s; connection opened %v ago, answered on %v, SIGTERM %v ago",
+		s.target.Addr, tag, r.object.Type.Name, r.id, r.isRepeat, ago(r.sentAt), s.client.Cluster.clockTime(), cause, ago(s.opened), s.answered,
+		ago(s.target.terminated()))
 	s.client.Cluster.Clients.WithLock(func(s *ClientStats) {
 		s.Lost++
 		s.LostReasons[reason]++
--- a/internal/faulttest/outcome.go
+++ b/internal/faulttest/outcome.go
@@ -52,12 +52,12 @@
 	History            *History   `json:"-"`                  // of the run
 
 	// Of schedules that are drawn for a soak; they stand in no JSON.
-	LateAnswers    int             `json:"-"` // answers later than the request's time and 0.5 s
-	SentAfterLeave int             `json:"-"` // attempts that began over 0.1 s after their client had left
-	EarlyRefusals  int             `json:"-"` // connections refused by a director that owed to accept them
-	EffectEvents   []string        `json:"-"` // what was done with the keys that RepeatedEffects counts
-	CrossedEnds    int             `json:"-"` // requests that crossed the end of a resting connection: no violation
-	StartTimes     []time.Duration `json:"-"` // that processes took until they served, sorted
+	LateAnswers     int             `json:"-"` // answers later than the request's time and 0.5 s
+	SentAfterLeave  int             `json:"-"` // attempts that began over 0.1 s after their client had left
+	EarlyRefusals   int             `json:"-"` // connections refused by a director that owed to accept them
+	ViolationEvents []string        `json:"-"` // what was done with the keys that RepeatedEffects counts, and what SentAfterLeave counts
+	CrossedEnds     int             `json:"-"` // requests that crossed the end of a resting connection: no violation
+	StartTimes      []time.Duration `json:"-"` // that processes took until they served, sorted
 }
 
 // RuleViolations returns how often the rules about answers, copies, drains and processes were broken. What else must not be has counts of
@@ -141,7 +141,7 @@
 	violations := cluster.Violations()
 	o.RepeatedEffects, o.OverloadedNodes = violations.RepeatedEffects, violations.OverloadedNodes
 	o.DrainViolations, o.ConcurrentAttempts = violations.DrainedUses, violations.ConcurrentAttempts
-	o.SentAfterLeave, o.EffectEvents = violations.SentAfterLeave, cluster.RepeatedEffectEvents()
+	o.SentAfterLeave, o.ViolationEvents = violations.SentAfterLeave, append(cluster.RepeatedEffectEvents(), cluster.SentAfterLeaveEvents()...)
 	for _, n := range cluster.Nodes {
 		if peak, _ := n.PeakLoad(); n.Kind != fakes.Origin {
 			o.ColdPeakLoad = max(o.ColdPeakLoad, roundTo(peak, 1000))
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -69,7 +69,7 @@
 	if len(broken) > 0 || o.Requests < 500 {
 		history := o.History.String()
 		t.Errorf("broken: %v\nlost: %s\n%s\n%s\nthe end of the history:\n%s\nschedule: %v", broken, o.LostReasons,
-			strings.Join(o.EffectEvents, "\n"), o.CrashDetail,
+			strings.Join(o.ViolationEvents, "\n"), o.CrashDetail,
 			history[max(0, len(history)-6000):], schedule)
 	}
 }
