fakes: the dedup window runs from arrival to arrival

Cause: the fake origin, not the director. It began a key's window when the first attempt had its turn at the origin, and judged the repeat when that had its own. By the settings the window is measured from the sending of the first attempt that may have run, and what is sent within it is a repeat, however long the origin takes over it.

The window now runs from the arrival of the first attempt to that of the repeat.

--- a/internal/fakes/effects.go
+++ b/internal/fakes/effects.go
@@ -13,7 +13,7 @@
 
 // effect is what requests with one key have done.
 type effect struct {
-	first  time.Duration // when it was last done anew
+	first  time.Duration // when the attempt arrived that last did it anew
 	times  int
 	events []string // what clients and nodes did with the key, with times
 }
@@ -50,16 +50,17 @@
 	return events
 }
 
-// recordEffect counts an effect; a repeat within the window is dropped. The caller holds the lock.
-func (c *Cluster) recordEffect(key string, t *ContentType) {
+// recordEffect counts the effect of an attempt that arrived at a time. One that arrived within the window after the first is dropped as
+// a repeat, whenever its turn comes. The caller holds the lock.
+func (c *Cluster) recordEffect(key string, t *ContentType, arrivedAt time.Duration) {
 	if key == "" {
 		return
 	}
 	c.recordKeyEvent(key, "effect at the origin")
-	e, now := c.effects[key], c.now()
-	if e.times == 0 || now > e.first+t.DedupWindow {
+	e := c.effects[key]
+	if e.times == 0 || arrivedAt > e.first+t.DedupWindow {
 		e.times++
-		e.first = now
+		e.first = arrivedAt
 	}
 	c.effects[key] = e
 }
--- a/internal/fakes/request.go
+++ b/internal/fakes/request.go
@@ -122,7 +122,7 @@
 		return
 	}
 	c.origin().transfers.add(work, func() {
-		c.recordEffect(r.fields["op"], r.contentType)
+		c.recordEffect(r.fields["op"], r.contentType, r.arrivedAt)
 		time.AfterFunc(c.OriginLatency, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
