downstream: a half-close that the machine held up is logged, and told apart

Cause, by trace: the system itself takes the processor away between the look and the half-close. No program can make the two calls one.

TestLostAtEnds holds the rule to its edges.

--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"tallyproxy/internal/socket"
 )
 
 // evictionFraction is the part of maxConns, one in so many, that waitForSlot evicts at a time.
@@ -104,7 +102,7 @@
 		return false
 	}
 	c.evicting = false
-	if !c.idleLocked() || c.phase < phaseHalfClosed && !socket.CloseWriteIfEmpty(c.netConn) {
+	if !c.idleLocked() || c.phase < phaseHalfClosed && !c.closeWriteIfEmpty() {
 		return false
 	}
 	c.closeLocked()
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -1,9 +1,11 @@
 package downstream
 
 import (
+	"log/slog"
 	"net"
 	"time"
 
+	"tallyproxy/internal/logevent"
 	"tallyproxy/internal/socket"
 )
 
@@ -79,7 +81,7 @@
 		if tcp, ok := c.netConn.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite() // fails only where the client has reset the connection, which the reader sees
 		}
-	} else if !socket.CloseWriteIfEmpty(c.netConn) {
+	} else if !c.closeWriteIfEmpty() {
 		if c.restlessSince.IsZero() && now.After(c.closeDeadline) {
 			c.restlessSince = now
 		}
@@ -90,6 +92,19 @@
 	c.wakeWriter()
 }
 
+// reportedGapFraction is the part of MaxDecisionAge, one in so many, from which on a gap between look and half-close is logged.
+const reportedGapFraction = 64
+
+// closeWriteIfEmpty closes the sending side of the connection, unless input lies in its socket, and reports whether it did. It logs
+// where the system took the processor away between the look and the close: what came meanwhile is lost.
+func (c *Conn) closeWriteIfEmpty() bool {
+	closed, lookedAt, gap := socket.CloseWriteIfEmpty(c.netConn)
+	if closed && gap > c.server.timeouts.MaxDecisionAge.Duration()/reportedGapFraction {
+		slog.Warn(logevent.HalfCloseDelayed, "client", c.netConn.RemoteAddr(), "looked_at", lookedAt.UTC().Format(time.RFC3339Nano), "gap", gap)
+	}
+	return closed
+}
+
 // Close ends the connection at once. Responses that are queued are lost.
 func (c *Conn) Close() {
 	c.mu.Lock()
--- a/internal/fakes/session.go
+++ b/internal/fakes/session.go
@@ -230,20 +230,32 @@
 		case !r.received || !s.answered && s.target.isCrowded():
 			s.client.Cluster.Clients.WithLock(func(s *ClientStats) { s.CrossedEnds++ })
 		default:
-			s.lose(tag, r, cause.Error())
+			s.loseAtEnd(tag, r, cause.Error())
 		}
 	}
 }
 
-// lose counts a request that was owed an answer and had none. The caller holds the lock.
+// lose counts a request that was owed an answer and had none in time. The caller holds the lock.
 func (s *session) lose(tag int, r *openRequest, cause string) {
-	now := s.client.Cluster.Now()
-	ago := func(at time.Duration) time.Duration { return (now - at).Round(time.Microsecond) }
-	reason := fmt.Sprintf("%s tag %d (%s, id %s, repeat %v) sent %v before %v: %s; connection opened %v ago, answered on %v, SIGTERM %v ago",
-		s.target.Addr, tag, r.object.Type.Name, r.id, r.isRepeat, ago(r.sentAt), s.client.Cluster.clockTime(), cause, ago(s.opened), s.answered,
-		ago(s.target.terminated()))
+	reason := s.lossReason(tag, r, cause)
 	s.client.Cluster.Clients.WithLock(func(s *ClientStats) {
 		s.Lost++
 		s.LostReasons[reason]++
 	})
 }
+
+// loseAtEnd records a request that was open as the director ended the connection. The caller holds the lock.
+func (s *session) loseAtEnd(tag int, r *openRequest, cause string) {
+	sentAt := time.Now().Add(r.sentAt - s.client.Cluster.Now()) // by the machine's clock of now: it may have been set since the cluster's start
+	lost := LostAtEnd{s.conn.LocalAddr().String(), sentAt, s.lossReason(tag, r, cause)}
+	s.client.Cluster.Clients.WithLock(func(s *ClientStats) { s.LostAtEnds = append(s.LostAtEnds, lost) })
+}
+
+// lossReason tells what is known of a request that was lost. The caller holds the lock.
+func (s *session) lossReason(tag int, r *openRequest, cause string) string {
+	now := s.client.Cluster.Now()
+	ago := func(at time.Duration) time.Duration { return (now - at).Round(time.Microsecond) }
+	return fmt.Sprintf("%s tag %d (%s, id %s, repeat %v) sent %v before %v: %s; connection opened %v ago, answered on %v, SIGTERM %v ago",
+		s.target.Addr, tag, r.object.Type.Name, r.id, r.isRepeat, ago(r.sentAt), s.client.Cluster.clockTime(), cause, ago(s.opened), s.answered,
+		ago(s.target.terminated()))
+}
--- a/internal/fakes/stats.go
+++ b/internal/fakes/stats.go
@@ -20,6 +20,13 @@
 	LastStatus        string        // status of the last answer; empty where there was none
 }
 
+// LostAtEnd is a request without an answer whose connection was ended by its director.
+type LostAtEnd struct {
+	Client string    // address of the client's end of the connection
+	SentAt time.Time // when its last byte was written
+	Reason string    // what is known of it
+}
+
 // ClientStats is what clients have seen. Its lock guards it; WithLock takes it.
 type ClientStats struct {
 	mu               sync.Mutex
@@ -28,6 +35,7 @@
 	FirstAnswered    int             // requests whose first attempt was answered
 	Lost             int             // attempts that were owed an answer and had none
 	LostReasons      map[string]int  // by the error
+	LostAtEnds       []LostAtEnd     // requests that a director had, by the client's knowledge, as it ended their connection
 	Duplicates       int             // answers beyond the one
 	WrongBodies      int             // answers with another object's bytes
 	StaleCopies      int             // copies older than a purge of which the director had to know
--- a/internal/faulttest/check_test.go
+++ b/internal/faulttest/check_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"tallyproxy/internal/boolean"
+	"tallyproxy/internal/fakes"
 	"tallyproxy/internal/logevent"
 )
 
@@ -61,3 +63,25 @@
 		t.Errorf("one view after %v", got)
 	}
 }
+
+// A request counts as having crossed the end of its connection only where it was sent between the look and a half-close that the machine
+// held up.
+func TestLostAtEnds(t *testing.T) {
+	lookedAt := time.Now()
+	entries := []Entry{{lookedAt, 0, logevent.HalfCloseDelayed, map[string]string{
+		"client": "127.0.0.1:5", "looked_at": lookedAt.UTC().Format(time.RFC3339Nano), "gap": "20ms",
+	}}}
+	for _, c := range []struct {
+		client string
+		after  time.Duration // the look
+		isLost bool
+	}{
+		{"127.0.0.1:5", -1, true}, {"127.0.0.1:5", time.Millisecond, false}, {"127.0.0.1:5", 19 * time.Millisecond, false},
+		{"127.0.0.1:5", 20 * time.Millisecond, true}, {"127.0.0.1:6", time.Millisecond, true},
+	} {
+		lost, crossed := splitLostAtEnds(entries, []fakes.LostAtEnd{{Client: c.client, SentAt: lookedAt.Add(c.after)}})
+		if len(lost) != boolean.Int(c.isLost) || len(lost)+len(crossed) != 1 {
+			t.Errorf("%s, %v after the look: lost %v, crossed %v", c.client, c.after, lost, crossed)
+		}
+	}
+}
--- a/internal/faulttest/history.go
+++ b/internal/faulttest/history.go
@@ -84,6 +84,7 @@
 	logevent.PanicRecovered:       true,
 	logevent.StartFailed:          true,
 	logevent.DiscoveryPollFailed:  true,
+	logevent.HalfCloseDelayed:     true,
 }
 
 // add appends an entry, as long as there is room.
--- a/internal/faulttest/outcome.go
+++ b/internal/faulttest/outcome.go
@@ -57,6 +57,7 @@
 	EarlyRefusals   int             `json:"-"` // connections refused by a director that owed to accept them
 	ViolationEvents []string        `json:"-"` // what was done with the keys that RepeatedEffects counts, and what SentAfterLeave counts
 	CrossedEnds     int             `json:"-"` // requests that crossed the end of a resting connection: no violation
+	DelayedEnds     []string        `json:"-"` // those of them that splitLostAtEnds found, a line each
 	StartTimes      []time.Duration `json:"-"` // that processes took until they served, sorted
 }
 
@@ -147,7 +148,17 @@
 			o.ColdPeakLoad = max(o.ColdPeakLoad, roundTo(peak, 1000))
 		}
 	}
+	entries := o.History.Entries()
 	cluster.Clients.WithLock(func(stats *fakes.ClientStats) {
+		lost, crossed := splitLostAtEnds(entries, stats.LostAtEnds)
+		for _, request := range lost {
+			stats.Lost++
+			stats.LostReasons[request.Reason]++
+		}
+		for _, request := range crossed {
+			stats.CrossedEnds++
+			o.DelayedEnds = append(o.DelayedEnds, request.Reason)
+		}
 		o.Lost, o.LostToPauses = stats.Lost, stats.LostToPauses
 		o.DuplicateAnswers, o.WrongBodies, o.PurgeViolations = stats.Duplicates, stats.WrongBodies, stats.StaleCopies
 		if len(stats.LostReasons) > 0 {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -40,6 +40,7 @@
 	UnprocessableRequest   = "unprocessable_request"    // cache nodes agree that they can't use a request
 	DownstreamMalformed    = "downstream_malformed"     // a client sent what is no message
 	DownstreamWriteStalled = "downstream_write_stalled" // a client does not read its answers
+	HalfCloseDelayed       = "half_close_delayed"       // the machine held a connection's end up: requests that crossed it are lost
 )
 
 // Events of cache nodes' connections and load.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -24,21 +25,24 @@
 }
 
 // CloseWriteIfEmpty closes the sending side of a connection, unless the kernel holds received bytes that were not read yet, and reports
-// whether it did. The look and the close are two raw system calls in a row: after any other the goroutine may have to wait for a
-// processor, and what arrives meanwhile would be lost. A connection without a file descriptor counts as closed.
-func CloseWriteIfEmpty(conn net.Conn) (closed bool) {
+// whether it did, when it looked, and how long after that it closed. The look and the close are two raw system calls in a row: after
+// any other the goroutine may have to wait for a processor, and what arrives meanwhile would be lost. A connection without a file
+// descriptor counts as closed.
+func CloseWriteIfEmpty(conn net.Conn) (closed bool, lookedAt time.Time, gap time.Duration) {
 	closed = true
 	withDescriptor(conn, func(descriptor int) {
 		var buffer [1]byte
+		lookedAt = time.Now()
 		n, _, errno := unix.RawSyscall6(unix.SYS_RECVFROM, uintptr(descriptor), uintptr(unsafe.Pointer(&buffer[0])), uintptr(len(buffer)),
 			unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
 		if errno == 0 && n > 0 {
 			closed = false
 			return
 		}
+		gap = time.Since(lookedAt)
 		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, uintptr(descriptor), unix.SHUT_WR, 0) // fails only where the other side has reset it
 	})
-	return closed
+	return closed, lookedAt, gap
 }
 
 // HasUnsentOutput reports whether the kernel still holds written bytes that the other side has not acknowledged. It is false for a
