faulttest: a fault is undone once it has been applied, not before

Both run in goroutines of their own, undo at the end of the fault's time: a duplicate instance that was slow to start was not there to be stopped yet, and stayed until the harness closed; what both wrote was a data race.

Undo waits for apply now; no apply waits for undo.

--- a/internal/faulttest/play.go
+++ b/internal/faulttest/play.go
@@ -14,9 +14,9 @@
 const faultStream = 900
 
 // fault is a fault of a schedule as it is played. Apply and undo, where there is one, run in goroutines of their own: undo at the end
-// of the fault's time, also where apply has not returned by then.
+// of the fault's time, or once apply has returned where that is later.
 type fault interface {
-	// apply does what goes wrong. It may take its time; the schedule is over only when it has returned.
+	// apply does what goes wrong. It may take its time, and does not wait for undo; the schedule is over only when it has returned.
 	apply(ctx context.Context)
 }
 
@@ -97,7 +97,17 @@
 // or down unless it could not be started. It takes no longer than the schedule's length and what it takes to start a process. The
 // schedule must be valid.
 func (h *Harness) Play(ctx context.Context, s Schedule) {
-	steps := h.steps(s)
+	runSteps(ctx, h.steps(s))
+	h.Network.Heal()
+	for _, p := range h.Processes() { // two faults of one process may have left it down
+		if !h.isUp(p) && !p.duplicate {
+			h.restart(ctx, p)
+		}
+	}
+}
+
+// runSteps takes each step at its time, and waits until all have returned.
+func runSteps(ctx context.Context, steps []step) {
 	begun := time.Now()
 	var running sync.WaitGroup
 	for _, step := range steps {
@@ -107,12 +117,6 @@
 		})
 	}
 	running.Wait()
-	h.Network.Heal()
-	for _, p := range h.Processes() { // two faults of one process may have left it down
-		if !h.isUp(p) && !p.duplicate {
-			h.restart(ctx, p)
-		}
-	}
 }
 
 // steps returns the begins and ends of a schedule's faults, by time.
@@ -120,15 +124,31 @@
 	for i, f := range s.Faults {
 		end := s.endMS(f)
 		played := h.newFault(f, rand.New(rand.NewPCG(s.Seed, uint64(i)+faultStream)), millis(end-f.AtMS))
-		steps = append(steps, step{f.AtMS, played.apply})
-		if undoable, ok := played.(revertible); ok {
-			steps = append(steps, step{end, undoable.undo})
-		}
+		steps = append(steps, faultSteps(played, f.AtMS, end)...)
 	}
 	slices.SortStableFunc(steps, func(a, b step) int { return a.atMS - b.atMS })
 	return steps
 }
 
+// faultSteps returns a fault's begin and, where it is to be undone, its end, which waits until the begin has returned.
+func faultSteps(f fault, atMS, endMS int) []step {
+	undoable, ok := f.(revertible)
+	if !ok {
+		return []step{{atMS, f.apply}}
+	}
+	applied := make(chan struct{})
+	return []step{
+		{atMS, func(ctx context.Context) {
+			defer close(applied)
+			f.apply(ctx)
+		}},
+		{endMS, func(ctx context.Context) {
+			<-applied
+			undoable.undo(ctx)
+		}},
+	}
+}
+
 // newFault makes a fault to be played; its kind must be known.
 func (h *Harness) newFault(f Fault, random *rand.Rand, duration time.Duration) fault {
 	run := faultRun{Fault: f, harness: h, processes: h.Processes(), rand: random, duration: duration}
