socket: the gap of a half-close ends with it, not before it

The time was taken before the system call that closes: where the system took the processor away within that call, half_close_delayed was not logged. What is sent after the close can't count as received by the client's own check, so that the soak's rule stays as strict.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -25,7 +25,7 @@
 }
 
 // CloseWriteIfEmpty closes the sending side of a connection, unless the kernel holds received bytes that were not read yet, and reports
-// whether it did, when it looked, and how long after that it closed. The look and the close are two raw system calls in a row: after
+// whether it did, when it looked, and how long after that it had closed. The look and the close are two raw system calls in a row: after
 // any other the goroutine may have to wait for a processor, and what arrives meanwhile would be lost. A connection without a file
 // descriptor counts as closed.
 func CloseWriteIfEmpty(conn net.Conn) (closed bool, lookedAt time.Time, gap time.Duration) {
@@ -39,8 +39,8 @@
 			closed = false
 			return
 		}
-		gap = time.Since(lookedAt)
 		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, uintptr(descriptor), unix.SHUT_WR, 0) // fails only where the other side has reset it
+		gap = time.Since(lookedAt)
 	})
 	return closed, lookedAt, gap
 }
