downstream: a client is not given up by the clock alone at the end of a drain

Cause: 0.1 s after the deadline of the drain (PollRetry) a connection is half-closed without a look into the socket, where input has put the end off all that time. A director that had no processor took two looks, far apart, for all that time.

Now both count, the time and as many looks as a client may have requests pending.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -29,6 +29,7 @@
 	suspect         bool      // set by MarkSuspect, until a request succeeds
 	badRequests     int       // requests that could not be used
 	restlessSince   time.Time // when input first kept the connection from being half-closed after the deadline of the drain
+	restlessLooks   int       // how often it has done so
 	messageStart    time.Time // when an incomplete message, or the connection without any, began; zero for none
 	lastUsed        time.Time // when the last request came or was answered
 	retryNotBefore  time.Time // when the client may come back after a rejection
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -69,22 +69,21 @@
 
 // tryHalfCloseLocked closes the sending side of a draining connection that has nothing more to do: nothing is pending or queued, and no
 // input that is still acted on lies in the socket. What lies there came before the end, so that it is read and answered, after the drain
-// deadline with a rejection. A client that then leaves no moment without input for PollRetry is no longer waited for. After the half-close
-// the client learns that nothing more comes, and closes its own side. The caller is the reader, and holds c.mu.
+// deadline with a rejection. A client that then leaves no moment without input, for PollRetry and as many looks as it may have requests
+// pending, is no longer waited for. After the half-close the client learns that nothing more comes, and closes its own side. The caller
+// is the reader, and holds c.mu.
 func (c *Conn) tryHalfCloseLocked(now time.Time) {
 	if c.phase == phaseActive || !c.idleLocked() {
 		return
 	}
 	timeouts := &c.server.timeouts
-	restless := !c.restlessSince.IsZero() && now.Sub(c.restlessSince) >= timeouts.PollRetry.Duration()
+	restless := c.restlessLooks >= maxPendingRequests && now.Sub(c.restlessSince) >= timeouts.PollRetry.Duration()
 	if c.input != inputAll || restless {
 		if tcp, ok := c.netConn.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite() // fails only where the client has reset the connection, which the reader sees
 		}
 	} else if !c.closeWriteIfEmpty() {
-		if c.restlessSince.IsZero() && now.After(c.closeDeadline) {
-			c.restlessSince = now
-		}
+		c.noteRestless(now)
 		return
 	}
 	c.phase, c.closeDeadline = phaseHalfClosed, now.Add(timeouts.WriteFlush.Duration())
@@ -92,6 +91,17 @@
 	c.wakeWriter()
 }
 
+// noteRestless counts a look that found input after the deadline of the drain. The caller holds c.mu.
+func (c *Conn) noteRestless(now time.Time) {
+	if !now.After(c.closeDeadline) {
+		return
+	}
+	if c.restlessLooks == 0 {
+		c.restlessSince = now
+	}
+	c.restlessLooks++
+}
+
 // reportedGapFraction is the part of MaxDecisionAge, one in so many, from which on a gap between look and half-close is logged.
 const reportedGapFraction = 64
 
--- a/internal/downstream/shutdown_test.go
+++ b/internal/downstream/shutdown_test.go
@@ -153,7 +153,8 @@
 }
 
 // TestInputPutsHalfCloseOff guards against losing the requests of a client that sends many after the drain deadline: however many came,
-// input keeps the connection until the client has left no moment without any for PollRetry.
+// input keeps the connection until the client has left no moment without any for PollRetry, in as many looks as it may have requests
+// pending: a director that had no processor for PollRetry has not looked.
 func TestInputPutsHalfCloseOff(t *testing.T) {
 	b := startServer(t, 2, 64, 10*time.Second)
 	client, netConn := connectedPair(t)
@@ -163,13 +164,19 @@
 	c, deadline := newConn(b.Server, b.testHandler, netConn), time.Now()
 	c.phase, c.closeDeadline = phaseDraining, deadline
 	pollRetry := b.timeouts.PollRetry.Duration()
-	for _, look := range []struct {
+	for _, looks := range []struct {
 		after  time.Duration // the deadline
+		count  int
 		closed bool
-	}{{-time.Second, false}, {time.Second, false}, {time.Second + pollRetry/2, false}, {time.Second + pollRetry - 1, false}, {time.Second + pollRetry, true}} {
-		c.tryHalfCloseLocked(deadline.Add(look.after))
-		if closed := c.phase == phaseHalfClosed; closed != look.closed {
-			t.Errorf("%v after the deadline: half-closed %v, want %v", look.after, closed, look.closed)
+	}{
+		{-time.Second, 100, false}, {time.Second, 1, false}, {time.Second + pollRetry/2, 1, false}, {time.Second + pollRetry, maxPendingRequests - 2, false},
+		{time.Second + pollRetry - 1, 100, false}, {time.Second + pollRetry, 1, true},
+	} {
+		for range looks.count {
+			c.tryHalfCloseLocked(deadline.Add(looks.after))
+		}
+		if closed := c.phase == phaseHalfClosed; closed != looks.closed {
+			t.Errorf("%d looks %v after the deadline: half-closed %v, want %v", looks.count, looks.after, closed, looks.closed)
 		}
 	}
 }
