Log slow starts, and at debug level the reason of each refusal, retry and close

- slow_start: a line when a director is told of a start (with the age it gives the node), when its budget first keeps an attempt away, and when the node leaves slow start, is removed or starts again, each with the capacity, quota, miss ratio and budget that it uses and what it sent.
At debug level a line for each half window with attempts.
- request_ended, attempt_failed, upstream_closed, downstream_closed, at debug level: request id and reason of each rejection, failed attempt and close.
Decisions carry a policy.Reason for it.

No decision changes (the golden decisions are as before) and no event or key has another name.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"log/slog"
 	"time"
 
+	"tallyproxy/internal/logevent"
 	"tallyproxy/internal/upstream"
 	"tallyproxy/policy"
 )
@@ -31,7 +33,14 @@
 		return
 	}
 	a.Attempt = d.target.byShard[s.number].Send(s.upstreamRequest(req, d), func(response upstream.Response, err error) {
-		s.calls.PutUnbounded(func() { s.attemptEnded(req, number, resultOf(response, err), response) })
+		s.calls.PutUnbounded(func() {
+			result := resultOf(response, err)
+			if result != policy.Succeeded && logevent.Debugging() {
+				slog.Debug(logevent.AttemptFailed, "txn", req.message.TransactionID, "attempt", number, "endpoint", d.endpointID,
+					"result", result, "err", err, "client_left", !req.conn.IsPending(req.tag))
+			}
+			s.attemptEnded(req, number, result, response)
+		})
 	}, earlier...)
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"log/slog"
 	"slices"
 
 	"tallyproxy/internal/downstream"
+	"tallyproxy/internal/logevent"
 	"tallyproxy/internal/upstream"
 	"tallyproxy/policy"
 	"tallyproxy/timerwheel"
@@ -86,8 +88,9 @@
 	policy.Decision
 	at           policy.Micros
 	recheckAfter policy.Micros // after at; 0 for never
-	// ID of an attempt's source, read under the router's lock because the policy changes its
-	// entries when the list changes
+	// IDs of an attempt's endpoint and source, read under the router's lock because the policy
+	// changes its entries when the list changes
+	endpointID string
 	sourceID   string
 	target     *endpoint // of an attempt; nil if the list has just dropped it
 	fillSource *endpoint // of an attempt; nil if the list has just dropped it
@@ -104,7 +107,7 @@
 	case policy.Reject, policy.Fail:
 		return d
 	case policy.Send:
-		d.sourceID = d.Source.ID
+		d.endpointID, d.sourceID = d.Endpoint.ID, d.Source.ID
 		d.target, d.fillSource, d.purges = r.endpoints[d.Endpoint.ID], r.endpoints[d.sourceID], r.purges.Load()
 	}
 	if !req.Done {
@@ -140,6 +143,10 @@
 	if d.Unprocessable {
 		req.conn.MarkSuspect()
 	}
+	if logevent.Debugging() {
+		slog.Debug(logevent.RequestEnded, "txn", req.message.TransactionID, "rejected", d.Action == policy.Reject, "reason", d.Reason,
+			"attempts", len(req.attempts), "waited", (s.router.Now() - req.ArrivedAt).Duration(), "retry_after", d.RetryAfter.Duration())
+	}
 	if d.Action == policy.Reject {
 		s.router.rejected.Add(1)
 		req.conn.Reject(req.tag, d.RetryAfter.Duration())
--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -110,6 +110,6 @@
 	if !c.idleLocked() || c.phase < phaseHalfClosed && !c.closeWriteIfEmpty() {
 		return false
 	}
-	c.closeLocked()
+	c.closeLocked(closeEvicted)
 	return true
 }
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -126,14 +126,28 @@
 func (c *Conn) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closeLocked()
+	c.closeLocked(closeEnded)
 }
 
+// closeReason says why a client's connection was closed, for the log.
+type closeReason string
+
+const (
+	closeEnded       closeReason = "ended" // by the client, a time-out, a drain or a panic
+	closeEvicted     closeReason = "evicted"
+	closeUnread      closeReason = "responses_unread"
+	closeWriteFailed closeReason = "write_failed"
+)
+
 // closeLocked is like Close for a caller that holds c.mu.
-func (c *Conn) closeLocked() {
+func (c *Conn) closeLocked(reason closeReason) {
 	if c.phase == phaseClosed {
 		return
 	}
+	if logevent.Debugging() {
+		slog.Debug(logevent.DownstreamClosed, "client", c.netConn.RemoteAddr(), "reason", reason, "phase", int(c.phase),
+			"pending", len(c.pending), "unwritten", len(c.queue))
+	}
 	c.phase = phaseClosed
 	for _, queued := range c.queue {
 		queued.body.Free()
--- a/internal/downstream/writer.go
+++ b/internal/downstream/writer.go
@@ -107,7 +107,7 @@
 	delete(c.pending, tag)
 	c.lastUsed = time.Now()
 	if c.queuedBytes > maxQueuedBytes {
-		c.closeLocked()
+		c.closeLocked(closeUnread)
 		c.mu.Unlock()
 		body.Free()
 		c.server.logClientError(logevent.DownstreamWriteStalled, errClientStalled)
@@ -171,7 +171,7 @@
 	defer c.mu.Unlock()
 	c.queuedBytes = max(0, c.queuedBytes-int(written))
 	if err != nil {
-		c.closeLocked()
+		c.closeLocked(closeWriteFailed)
 	} else if len(c.queue) > 0 || c.phase == phaseDraining {
 		c.wakeWriter()
 	}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -3,6 +3,15 @@
 // operators, and the fault tests read some of them.
 package logevent
 
+import (
+	"context"
+	"log/slog"
+)
+
+// Debugging reports whether events at debug level are logged. Callers on the way of a request check
+// it before they put the details of an event together.
+func Debugging() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
 // Events of the director's start, reload and shutdown.
 const (
 	Started             = "started"               // the director listens for clients
@@ -50,6 +59,15 @@
 const (
 	UpstreamBadResponse = "upstream_bad_response" // a cache node sent a malformed response
 	OverloadState       = "overload_state"        // the overload controller's state changed
+	SlowStart           = "slow_start"            // a cache node that has just started, see state
+)
+
+// Events of single requests and connections, at debug level.
+const (
+	RequestEnded     = "request_ended"     // a request was rejected or failed, with the reason
+	AttemptFailed    = "attempt_failed"    // an attempt did not succeed, with what follows it
+	DownstreamClosed = "downstream_closed" // a client's connection was closed, with the reason
+	UpstreamClosed   = "upstream_closed"   // a connection to a cache node was closed, likewise
 )
 
 // Events of gossip with other directors.
--- a/internal/server/director.go
+++ b/internal/server/director.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"runtime"
@@ -241,7 +242,7 @@
 func (d *director) routingOptions() routing.Options {
 	return routing.Options{
 		Overload: d.operator.Overload, Dedup: d.operator.DedupSettings(d.platform.Limits), QuotaShare: d.gossip.quotaShare,
-		OnOverloadReport: logOverload,
+		OnOverloadReport: logOverload, OnSlowStartReport: logSlowStart,
 	}
 }
 
@@ -250,3 +251,17 @@
 	slog.Info(logevent.OverloadState, "state", r.State, "demand", r.Demand, "warm", r.WarmShare, "admissions", r.Requests, "retries", r.Retries,
 		"early_retries", r.EarlyRetries, "connects", r.NewConnections, "reserved", r.ReservedShare, "reservations_kept", r.KeptShare)
 }
+
+// logSlowStart logs an event of a node's slow start. Events of single half windows are logged at
+// debug level. Work is logged in milliseconds of transfer time at the full rate.
+func logSlowStart(_ policy.Micros, r routing.SlowStartReport) {
+	level := slog.LevelInfo
+	if r.Event == routing.SlowStartHalfWindow {
+		level = slog.LevelDebug
+	}
+	milliseconds := func(work float64) float64 { return math.Round(work) / float64(policy.Millisecond) }
+	slog.Log(context.Background(), level, logevent.SlowStart, "endpoint", r.Endpoint, "state", r.Event, "tier", r.Tier,
+		"age", r.Age.Duration(), "share", r.Share, "capacity", r.Capacity, "quota", r.Quota, "miss_ratio", r.MissRatio,
+		"budget_ms", milliseconds(r.Budget), "half_ms", milliseconds(r.HalfWork), "peak_ms", milliseconds(r.PeakWork),
+		"sent", r.Sent, "deferred", r.Deferred)
+}
--- a/policy/decision.go
+++ b/policy/decision.go
@@ -18,6 +18,22 @@
 	Fail
 )
 
+// Reason says why the policy ended a request without an answer of an endpoint.
+type Reason string
+
+// The reasons of Reject and Fail. Operators see them in log lines.
+const (
+	ReasonDeadline      Reason = "deadline"      // the client's deadline has passed
+	ReasonDedupFull     Reason = "dedup_full"    // no record of the idempotency key can be kept
+	ReasonUnknownKey    Reason = "unknown_key"   // a retry with a key of which no record is left
+	ReasonOverload      Reason = "overload"      // the overload controller did not admit it
+	ReasonNoEndpoint    Reason = "no_endpoint"   // no endpoint that it may go to
+	ReasonNoCapacity    Reason = "no_capacity"   // no room at an endpoint within its time
+	ReasonExhausted     Reason = "exhausted"     // it had all attempts that it may have
+	ReasonErrorRate     Reason = "error_rate"    // too many attempts fail for another one
+	ReasonUnprocessable Reason = "unprocessable" // endpoints agree that they cannot process it
+)
+
 // Decision is what the policy wants done for one request.
 type Decision struct {
 	Action Action // what the adapter is asked to do with the request
@@ -35,5 +51,6 @@
 
 	Attempt       int    // with CancelAttempt: number of the attempt
 	RetryAfter    Micros // with Reject: advised delay before the client's retry; 0 for no advice
+	Reason        Reason // with Reject or Fail: why
 	Unprocessable bool   // with Reject or Fail: endpoints agreed that they cannot process it
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,9 @@
 // Second is one second. Rates are per second.
 const Second Micros = 1_000_000
 
+// Millisecond is a thousandth of a second.
+const Millisecond Micros = Second / 1000
+
 // Policy makes the decisions of one router. An adapter calls Route for each request that arrives
 // and AttemptDone for each attempt that ends. After each decision to queue or to send, it calls
 // RecheckAfter and calls Route again when that time has passed. The other methods report events.
--- a/policy/request.go
+++ b/policy/request.go
@@ -49,6 +49,14 @@
 	Withdrawn
 )
 
+var resultNames = [...]string{
+	Succeeded: "succeeded", Failed: "failed", Rejected: "rejected", TimedOut: "timed_out", ConnectFailed: "connect_failed",
+	ConnectionLost: "connection_lost", Cancelled: "cancelled", NotSent: "not_sent", CacheMiss: "cache_miss", Withdrawn: "withdrawn",
+}
+
+// String returns the name of the result for log lines.
+func (r Result) String() string { return resultNames[r] }
+
 // CacheStatus is what an answer reports about the copy or the fill. The statuses from
 // SourceRejected on report why a fill failed.
 type CacheStatus int
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -36,9 +36,7 @@
 	concurrency concurrencyLimit // limit of attempts at this endpoint
 	fillLatency float64          // running mean of fill time through it, over the latency objective
 
-	// Slow start.
-	halfWindowWork float64       // work sent in the current half of the overload window
-	halfWindow     policy.Micros // number of that half
+	slowStart slowStartCounts
 }
 
 // tier holds the ready endpoints of one kind.
@@ -55,12 +53,16 @@
 		r.endpoints = make(map[string]*endpoint, len(entries))
 	}
 	for _, entry := range entries {
+		e := known[entry.ID]
+		if e != nil && (e.Started != entry.Started || entry.State == policy.Removed) {
+			r.endSlowStart(now, e)
+			e = nil
+		}
 		if entry.State == policy.Removed {
 			delete(r.endpoints, entry.ID)
 			continue
 		}
-		e := known[entry.ID]
-		if e == nil || e.Started != entry.Started {
+		if e == nil {
 			e = r.newEndpoint(now, entry)
 		}
 		e.Endpoint, r.endpoints[entry.ID] = entry, e
@@ -68,7 +70,13 @@
 			e.Weight = 1
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		if r.endpoints[id] == nil {
+			r.endSlowStart(now, known[id])
+		}
+	}
 	r.rebuildTiers()
+	r.reportSlowStarts(now)
 }
 
 // newEndpoint returns an endpoint for a list entry, without any observations.
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -29,8 +29,11 @@
 // chooseEndpoint chooses the endpoint and the source of an attempt, and decides to send the
 // attempt, to queue the request or to end it.
 func (r *Router) chooseEndpoint(now policy.Micros, request *policy.Request, state *requestState) policy.Decision {
-	if request.Deadline <= now || !r.dedup.CanRecord(request.IdempotencyKey) {
-		return r.reject(now, request, state)
+	if request.Deadline <= now {
+		return r.reject(now, request, state, policy.ReasonDeadline)
+	}
+	if !r.dedup.CanRecord(request.IdempotencyKey) {
+		return r.reject(now, request, state, policy.ReasonDedupFull)
 	}
 	p := r.newPlacement(now, request, state)
 	p.chooseEdge()
@@ -171,7 +174,7 @@
 		if e.halfOpen && !e.probing && a.probeTarget == nil {
 			e.probing, a.probeTarget = true, e
 		}
-		e.halfWindowWork += p.work
+		r.countSlowStart(p.now, e, p.work)
 	}
 	r.fillLimiter.inFlight += boolean.Int(a.countedAsFill)
 	r.originLimiter.inFlight += boolean.Int(a.mayReachOrigin)
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -27,7 +27,10 @@
 	if hasCandidate && (!request.IsRetry || p.state.admission.OnTime()) && !late {
 		return policy.Decision{Action: policy.Queue}
 	}
-	return r.reject(now, request, p.state)
+	if !hasCandidate {
+		return r.reject(now, request, p.state, policy.ReasonNoEndpoint)
+	}
+	return r.reject(now, request, p.state, policy.ReasonNoCapacity)
 }
 
 // queueRecheckInterval returns the time between two checks of a queued request.
--- a/routing/rendezvous.go
+++ b/routing/rendezvous.go
@@ -29,8 +29,14 @@
 		if rank > bestRank || !allowed(e) || e.ejectedUntil > now || e.halfOpen && e.probing {
 			continue
 		}
-		if share := slowStartShare(now, e, t.slowStart); share < 1 && (hash.Unit(pair) > share || !r.fitsSlowStartBudget(now, t, e, work)) {
-			continue
+		if share := slowStartShare(now, e, t.slowStart); share < 1 {
+			if hash.Unit(pair) > share {
+				continue
+			}
+			if !r.fitsSlowStartBudget(now, t, e, work) {
+				r.deferAttempt(now, t, e)
+				continue
+			}
 		}
 		best, bestRank = e, rank
 	}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -46,22 +46,27 @@
 	overloaded := r.errorRate > overloadErrorRate && !a.cancelled && result != policy.Withdrawn
 	unprocessable := len(state.unexplainedErrors) > boolean.Int(!request.ClientSuspect)
 	exhausted := state.fullAttempts > maxRetries || len(state.attempts)-state.withdrawn >= r.settings.MaxAttempts
-	if exhausted || unprocessable || overloaded {
-		decision := r.reject(now, request, state)
-		decision.Unprocessable = unprocessable
+	switch {
+	case unprocessable:
+		decision := r.reject(now, request, state, policy.ReasonUnprocessable)
+		decision.Unprocessable = true
 		return decision
+	case exhausted:
+		return r.reject(now, request, state, policy.ReasonExhausted)
+	case overloaded:
+		return r.reject(now, request, state, policy.ReasonErrorRate)
 	}
 	return r.chooseEndpoint(now, request, state)
 }
 
 // reject ends a request with a rejection if the client can safely retry, and with a failure
 // otherwise. The overload controller determines when the client should retry.
-func (r *Router) reject(now policy.Micros, request *policy.Request, state *requestState) policy.Decision {
+func (r *Router) reject(now policy.Micros, request *policy.Request, state *requestState, reason policy.Reason) policy.Decision {
 	retryAfter := r.overload.RetryAfter(now, &state.admission, min(r.settings.MaxRetryAfter, request.Type.LatencyObjective))
 	if state.mayHaveRun != nil && !clientMayRetry(request, state.mayHaveRun, now+retryAfter) {
-		return policy.Decision{Action: policy.Fail}
+		return policy.Decision{Action: policy.Fail, Reason: reason}
 	}
-	return policy.Decision{Action: policy.Reject, RetryAfter: retryAfter}
+	return policy.Decision{Action: policy.Reject, RetryAfter: retryAfter, Reason: reason}
 }
 
 // clientMayRetry reports whether a client's retry at the given time is safe after an attempt that
--- a/routing/router.go
+++ b/routing/router.go
@@ -63,6 +63,8 @@
 	originLimiter concurrencyLimit // limits those fills that may reach the origin
 	fillIncrease  float64          // increase of both limits by a fill that took no time
 
+	onSlowStartReport func(now policy.Micros, report SlowStartReport) // nil for none
+
 	overload   *overload.Controller
 	dedup      *dedup.Table
 	quotaShare func(now policy.Micros, fleetWide bool) float64
@@ -78,6 +80,9 @@
 	// OnOverloadReport, unless nil, is called with every change of a retry storm's state.
 	OnOverloadReport func(now policy.Micros, r overload.Report)
 
+	// OnSlowStartReport, unless nil, is called with the events of endpoints in slow start.
+	OnSlowStartReport func(now policy.Micros, report SlowStartReport)
+
 	// QuotaShare returns the share that this director may use now, relative to the even share that
 	// follows from the settings. If fleetWide is false, it is a share of what the directors of the
 	// zone have in common; otherwise it is a share of what all directors have in common. If
@@ -110,6 +115,7 @@
 func (r *Router) SetOptions(options Options) {
 	r.overload = overload.New(options.Overload, r.settings.MaxRetryAfter, r.settings.Seed, r, options.OnOverloadReport)
 	r.dedup.SetSettings(options.Dedup)
+	r.onSlowStartReport = options.OnSlowStartReport
 	if r.quotaShare = options.QuotaShare; options.QuotaShare == nil {
 		r.quotaShare = func(policy.Micros, bool) float64 { return 1 }
 	}
@@ -144,10 +150,10 @@
 	if record := r.dedup.Lookup(now, request.IdempotencyKey, contentType.DedupWindow); record != nil {
 		state.mayHaveRun = attemptFromRecord(record)
 	} else if mustBeKnown {
-		return policy.Decision{Action: policy.Fail}, false
+		return policy.Decision{Action: policy.Fail, Reason: policy.ReasonUnknownKey}, false
 	}
 	if !r.overload.Admit(now, &state.admission) {
-		return r.reject(now, request, state), false
+		return r.reject(now, request, state, policy.ReasonOverload), false
 	}
 	return policy.Decision{}, true
 }
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -23,15 +23,25 @@
 // the first, because hundreds of directors may send theirs at the same time. If the budget is less
 // than one attempt, a random draw for each half decides which directors send one.
 func (r *Router) fitsSlowStartBudget(now policy.Micros, t *tier, e *endpoint, work float64) bool {
-	capacity, quota := r.slowStartCapacity(now, t, e)
-	halfLength := max(1, t.slowStart.OverloadWindow/2)
-	if halfWindow := now / halfLength; e.halfWindow != halfWindow {
-		e.halfWindow, e.halfWindowWork = halfWindow, 0
+	r.updateSlowStart(now, t, e)
+	if number := now / halfWindow(t.slowStart); e.slowStart.halfWindow != number {
+		r.beginHalfWindow(now, t, e, number)
 	}
-	budget := capacity * quota * slowStartShare(now, e, t.slowStart) * t.slowStart.OverloadFactor * slowStartBudgetShare * float64(halfLength)
-	return e.halfWindowWork+work <= budget+work*hash.Unit(e.hash^r.settings.Seed^hash.Mix(uint64(e.halfWindow)))
+	draw := hash.Unit(e.hash ^ r.settings.Seed ^ hash.Mix(uint64(e.slowStart.halfWindow)))
+	return e.slowStart.halfWork+work <= r.slowStartBudget(now, t, e)+work*draw
 }
 
+// slowStartBudget returns the work that this director may send to an endpoint in slow start in half
+// an overload window, in microseconds of transfer time at the full rate.
+func (r *Router) slowStartBudget(now policy.Micros, t *tier, e *endpoint) float64 {
+	capacity, quota := r.slowStartCapacity(now, t, e)
+	limit := capacity * quota * slowStartShare(now, e, t.slowStart) * t.slowStart.OverloadFactor
+	return limit * slowStartBudgetShare * float64(halfWindow(t.slowStart))
+}
+
+// halfWindow returns the length of half an overload window.
+func halfWindow(s policy.SlowStart) policy.Micros { return max(1, s.OverloadWindow/2) }
+
 // slowStartCapacity returns this director's even share of the capacity of a warm endpoint, in
 // concurrent transfers at the full rate, and its quota relative to that share. The capacity is the
 // endpoint's share of the fill link, which carries the misses of edge caches and the answers of
