Keep the budget of a cold node when other nodes leave its tier

Cause: a cold node's capacity was taken as the zone's link times its weight over the weight of the nodes that are ready now. Where nodes are removed around a start the same link is divided by fewer, and the budget of the cold one rises, although its own capacity does not.

Fix: the share is taken of the largest weight of ready nodes that the director has seen. A tier that was made smaller for good gives smaller budgets until the director restarts.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -44,6 +44,9 @@
 	ready       []*endpoint // in the order of their IDs
 	slowStart   policy.SlowStart
 	totalWeight float64 // of the ready endpoints
+	// largestWeight is the highest totalWeight so far. An endpoint's capacity does not grow when
+	// others leave the tier, so its share of the capacity of all is derived from this value.
+	largestWeight float64
 }
 
 // UpdateEndpoints applies an endpoint list: a complete one, or only the changed entries.
@@ -102,6 +105,9 @@
 			r.edges.add(e)
 		}
 	}
+	for _, t := range []*tier{&r.edges, &r.parents} {
+		t.largestWeight = max(t.largestWeight, t.totalWeight)
+	}
 }
 
 // add adds a ready endpoint to the tier.
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -53,7 +53,7 @@
 // parents. If the capacity of the link is unknown, the endpoint's size is used. What the router
 // observes may lower the capacity, but never raise it above what the settings imply.
 func (r *Router) slowStartCapacity(now policy.Micros, t *tier, e *endpoint) (capacity, quota float64) {
-	capacity, quota = r.linkShare*e.Weight/t.totalWeight, r.quotaShare(now, false)
+	capacity, quota = r.linkShare*e.Weight/t.largestWeight, r.quotaShare(now, false)
 	switch {
 	case r.sizesOnly() && t == &r.parents:
 		capacity, quota = e.Weight/float64(max(1, r.settings.TotalDirectors)), r.quotaShare(now, true)
