Withdraw attempts at a cold node that wait for a connection too long

Cause: an attempt counts in the half window in which it is decided, and reaches the node when its connection comes up, up to limits.connect-timeout later. Where connections come up together, as after a node's accept queue stalled, the allowances of all half windows since arrive in one.

Fix: an attempt at or through a node in slow start is written within half a window after its decision (Decision.NotAfter); otherwise it is withdrawn and decided anew, as after a drain. The cost is that nodes whose connections take longer than half a window get fewer attempts.

The golden decisions of five histories change in NotAfter alone: the numbers of attempts are as before.

--- a/routing/coldfleet_test.go
+++ b/routing/coldfleet_test.go
@@ -61,6 +61,8 @@
 	added         int     // warm endpoints of the tier that are added around the start
 	toldLate      bool    // directors hear of the start at different times
 	connect       connectMode
+	windows       int           // overload windows that are simulated after the start
+	connectLimit  policy.Micros // longest time in which a connection may come up
 }
 
 // connectMode is how connections to cold endpoints come up.
@@ -72,8 +74,6 @@
 	connectTogether             // all at the same moments
 )
 
-const coldFleetWindows = 3 // overload windows that are simulated after the start
-
 // newColdFleet returns a fleet whose endpoints are all warm.
 func newColdFleet(seed uint64, spec coldFleetSpec) *coldFleet {
 	f := &coldFleet{
@@ -83,7 +83,7 @@
 	f.settings = policy.Settings{
 		Zone: 1, ZoneDirectors: spec.directors, TotalDirectors: spec.directors, ParentKind: 1, OriginKind: 2, CanCancel: true,
 		MaxAttempts: 8, ReportsCacheStatus: !spec.sizesTold, WeightsAreSizes: spec.sizesTold, PurgeRetention: 6 * policy.Second,
-		ConnectTimeout: 400 * policy.Millisecond,
+		ConnectTimeout: spec.connectLimit,
 		EdgeSlowStart:  policy.SlowStart{InitialShare: spec.initialShare, Duration: 12 * policy.Second, OverloadFactor: 2.5, OverloadWindow: spec.window},
 	}
 	f.settings.ParentSlowStart = f.settings.EdgeSlowStart
--- a/routing/coldfleetrun_test.go
+++ b/routing/coldfleetrun_test.go
@@ -114,7 +114,7 @@
 
 // playDemand has the directors route requests at random times until the end of the simulation.
 func (f *coldFleet) playDemand() {
-	end := f.startAt + coldFleetWindows*f.spec.window
+	end := f.startAt + policy.Micros(f.spec.windows)*f.spec.window
 	tier, share := f.spec.edges, f.spec.initialShare
 	if f.spec.parent {
 		tier = f.spec.parents
--- a/routing/coldrule_test.go
+++ b/routing/coldrule_test.go
@@ -48,6 +48,7 @@
 	logBetween := func(low, high float64) float64 { return math.Exp(between(math.Log(low), math.Log(high))) }
 	chance := func(p float64) bool { return rng.Float64() < p }
 	spec := coldFleetSpec{
+		windows: 3, connectLimit: 400 * policy.Millisecond,
 		directors: int(logBetween(1, 901)), window: policy.Micros(logBetween(0.2, 5) * float64(policy.Second)), parent: chance(0.35), sizesTold: chance(0.3),
 		requestSizes: chance(0.4), edges: 3 + rng.IntN(6), parents: 1 + rng.IntN(4), coldNodes: 1, linkRatio: between(0.25, 0.5), sizeFactor: 1,
 		initialShare: between(0.1, 0.4), workRatio: between(0.1, 0.9), types: 1 + rng.IntN(3), sigma: between(0, 1), hitsBefore: 1 - logBetween(0.01, 1),
@@ -89,7 +90,7 @@
 	if spec.parent {
 		tier = spec.parents
 	}
-	requests := spec.demand * (coldFleetWindows + 0.5) * float64(tier+spec.coldNodes) / spec.initialShare
+	requests := spec.demand * (float64(spec.windows) + 0.5) * float64(tier+spec.coldNodes) / spec.initialShare
 	if spec.parent {
 		requests /= max(1-spec.hitsAfter, 0.1)
 	}
@@ -140,14 +141,14 @@
 			fleet.warmUp(min(300, maxWarmUpRequests/spec.directors))
 			fleet.start()
 			sent, allowed := len(fleet.arrivals["ecold0"]), 0.0
-			for window := range coldFleetWindows {
+			for window := range spec.windows {
 				allowed += fleet.capacityAt(fleet.startAt + policy.Micros(window)*spec.window)
 			}
 			if !spec.requestSizes {
 				allowed *= spec.workRatio
 			}
 			if math.Floor(allowed/10) > float64(sent) {
-				t.Errorf("%d attempts in %d windows, the capacity is %.1f; %+v", sent, coldFleetWindows, allowed, spec)
+				t.Errorf("%d attempts in %d windows, the capacity is %.1f; %+v", sent, spec.windows, allowed, spec)
 			}
 		})
 	}
@@ -157,8 +158,8 @@
 // what lets too many attempts through if the budget does not allow for it.
 func TestColdEndpointCases(t *testing.T) {
 	base := coldFleetSpec{
-		window: 2 * policy.Second, edges: 4, parents: 2, coldNodes: 1, linkRatio: 0.5, sizeFactor: 1, initialShare: 0.2, workRatio: 0.3, types: 1,
-		requestSizes: true, hitsBefore: 0.5, hitsAfter: 0.5, objects: 20_000, heavyDirector: 1, demand: 6,
+		windows: 3, window: 2 * policy.Second, edges: 4, parents: 2, coldNodes: 1, linkRatio: 0.5, sizeFactor: 1, initialShare: 0.2, workRatio: 0.3, types: 1,
+		connectLimit: 1500 * policy.Millisecond, requestSizes: true, hitsBefore: 0.5, hitsAfter: 0.5, objects: 20_000, heavyDirector: 1, demand: 6,
 	}
 	for _, c := range []struct {
 		name   string
@@ -168,8 +169,10 @@
 		{"a parent, misses after hits", func(spec *coldFleetSpec) { spec.parent, spec.hitsBefore, spec.hitsAfter = true, 0.98, 0 }},
 		{"half of the other nodes removed", func(spec *coldFleetSpec) { spec.removed = 2 }},
 		{"half as large as the mean", func(spec *coldFleetSpec) { spec.sizeFactor = 0.5 }},
-		{"connections come up together, short windows", func(spec *coldFleetSpec) { spec.window, spec.connect = policy.Second/5, connectTogether }},
-		{"connections come up late, short windows", func(spec *coldFleetSpec) { spec.window, spec.connect = policy.Second/5, connectLate }},
+		{"connections come up together, short windows", func(spec *coldFleetSpec) {
+			spec.windows, spec.window, spec.connect = 16, policy.Second/5, connectTogether
+		}},
+		{"connections come up late, short windows", func(spec *coldFleetSpec) { spec.windows, spec.window, spec.connect = 16, policy.Second/5, connectLate }},
 		{"most directors restarted", func(spec *coldFleetSpec) { spec.restarted = 0.7 }},
 		{"long transfers, not measured", func(spec *coldFleetSpec) { spec.requestSizes, spec.sizesTold, spec.workRatio = false, true, 0.9 }},
 	} {
@@ -179,7 +182,7 @@
 				spec := base
 				spec.directors = directors
 				c.change(&spec)
-				spec.capacity = capacityFor(spec, 400, 5*maxSimulatedRequests)
+				spec.capacity = capacityFor(spec, 400, 10*maxSimulatedRequests)
 				fleet := newColdFleet(uint64(directors), spec)
 				fleet.warmUp(min(300, maxWarmUpRequests/directors))
 				fleet.start()
--- a/routing/golden_test.go
+++ b/routing/golden_test.go
@@ -119,12 +119,12 @@
 		attempts      int
 		want          uint64
 	}{
-		{1, false, false, 1209, 0x4cb6fb2fd607c3e7},
-		{2, true, false, 1052, 0x6b43029000f74da7},
+		{1, false, false, 1209, 0xe9ff059b2380479d},
+		{2, true, false, 1052, 0xcd399a8d1d46be6},
 		{3, false, true, 1059, 0xfe888ba49c67dd49},
-		{4, true, true, 1390, 0x32bf84f36153fa80},
-		{5, true, true, 1612, 0x2964eec9c576eaf9},
-		{6, true, false, 1206, 0xcfd338a59f507ff1},
+		{4, true, true, 1390, 0x69f1813ae2c90295},
+		{5, true, true, 1612, 0x1496e22e7ff64f2f},
+		{6, true, false, 1206, 0xb64bd47c7c30f75e},
 	} {
 		attempts, hash := runRandomHistory(c.seed, c.reportsStatus, c.direct)
 		if attempts != c.attempts || hash != c.want {
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -49,6 +49,7 @@
 	if !p.chooseSource(&decision) {
 		return r.queueOrReject(&p)
 	}
+	decision.NotAfter = p.budgetedUntil(decision.NotAfter)
 	p.send()
 	decision.Endpoint, decision.Source = &a.endpoint.Endpoint, &a.source.Endpoint
 	return decision
@@ -167,6 +168,18 @@
 	return true
 }
 
+// budgetedUntil returns the time before which the attempt must be written: the given time, or the
+// end of the half window after which a budget in which the attempt counts is used again. Attempts
+// that wait for a connection would otherwise reach the endpoint together with those of later halves.
+func (p *placement) budgetedUntil(notAfter policy.Micros) policy.Micros {
+	for _, e := range []*endpoint{p.attempt.endpoint, p.attempt.source} {
+		if t := p.router.tierOf(e); slowStartShare(p.now, e, t.slowStart) < 1 {
+			notAfter = min(notAfter, p.now+halfWindow(t.slowStart))
+		}
+	}
+	return notAfter
+}
+
 // send records that the attempt is sent.
 func (p *placement) send() {
 	r, a, state := p.router, p.attempt, p.state
