Convert starts and purges to the policy's clock once, as they arrive

A step back by an hour, of all machines' clocks, made a node that started afterwards an hour old, so warm at once, and let copies through that were older than a purge; a step forward kept it cold for an hour.

Cause: dispatch reads the wall clock once and compared since_ms and the time of a purge with that reading for ever. Fix: wallclock.Reading.Local turns such a time into an age when it arrives, the smallest that the policy's clock, the present wall clock and the time since the last answered poll allow; a start keeps it. A node's age is understated by up to the time that its announcement took before the poll, which is on the safe side.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -25,6 +25,9 @@
 	Object       string        // the purged object; empty if none is purged
 	Group        int           // the purged group of objects, or policy.AllGroups
 	PurgedAt     policy.Micros // time of the purge, in microseconds since 1970
+	// AnnouncedWithin is a time before its arrival at which the event had not been announced yet;
+	// 0 if unknown.
+	AnnouncedWithin policy.Micros
 }
 
 // Endpoint is an entry of the endpoint list with its address.
--- a/internal/discovery/run.go
+++ b/internal/discovery/run.go
@@ -22,6 +22,7 @@
 	apply         func([]Event)
 	polledAddress string        // address of the last poll
 	longPoll      policy.Micros // how long the channel may delay its answer to the next poll
+	answeredAt    time.Time     // start of the last poll that was answered; zero if there is none
 }
 
 // pollRequest is one poll.
@@ -86,8 +87,12 @@
 	request := s.newRequest(cancel)
 	events, err := s.send(pollCtx, request)
 	if err == nil && len(events) > 0 {
+		s.boundAnnouncements(events)
 		s.apply(events)
 	}
+	if err == nil {
+		s.answeredAt = request.started
+	}
 	if err == nil || pollCtx.Err() == nil {
 		// PollDone may cancel this poll by calling PollNow.
 		s.stallMonitor.PollDone(request.began, s.stallMonitor.Now(), err == nil)
@@ -97,6 +102,18 @@
 	sleep(pollCtx, s.nextPause(request, result, retryAfter, err))
 }
 
+// boundAnnouncements notes in the events that they had not been announced when the poll before this
+// one began, which would have returned them.
+func (s *session) boundAnnouncements(events []Event) {
+	if s.answeredAt.IsZero() {
+		return
+	}
+	within := policy.MicrosOf(time.Since(s.answeredAt))
+	for i := range events {
+		events[i].AnnouncedWithin = within
+	}
+}
+
 // newRequest prepares a poll whose context cancel cancels.
 func (s *session) newRequest(cancel context.CancelFunc) pollRequest {
 	address, refresh := s.beginPoll(cancel)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,8 +27,9 @@
 type Router struct {
 	timeouts    policy.Timeouts
 	pool        *upstream.Pool
-	clockStart  time.Time     // start of the policy's clock, with a monotonic reading
-	clockOffset policy.Micros // the system clock at clockStart
+	clockStart  time.Time        // start of the policy's clock, with a monotonic reading
+	clockOffset policy.Micros    // the system clock at clockStart
+	wallClock   func() time.Time // the system clock, which may be stepped
 	shards      []*Shard
 	owners      *shard.Owners // owners of request IDs, until their attempts have ended
 	epochs      *shard.Epochs // epochs of endpoint updates and purges
@@ -42,7 +43,9 @@
 	policy    policy.Policy
 	endpoints map[string]*endpoint // by ID; removed when the list drops the endpoint
 	// list entries as received, by ID; removed when the list drops the endpoint
-	listed         map[string]discovery.Endpoint
+	listed map[string]discovery.Endpoint
+	// starts of listed endpoints, by ID; removed when the list drops the endpoint
+	starts         map[string]endpointStart
 	forcedDraining map[string]bool // IDs of endpoints treated as draining, regardless of the list
 
 	succeeded, rejected, failed, sent, withdrawn atomic.Int64 // see Counts
@@ -51,7 +54,7 @@
 // New returns a router with the given number of shards. Run starts them.
 func New(routingPolicy policy.Policy, timeouts policy.Timeouts, pool *upstream.Pool, shards int) *Router {
 	r := &Router{
-		policy: routingPolicy, timeouts: timeouts, pool: pool, clockStart: time.Now(),
+		policy: routingPolicy, timeouts: timeouts, pool: pool, clockStart: time.Now(), wallClock: time.Now, starts: map[string]endpointStart{},
 		owners: shard.NewOwners(), epochs: shard.NewEpochs(shards),
 		endpoints: map[string]*endpoint{}, listed: map[string]discovery.Endpoint{},
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -7,6 +7,7 @@
 	"tallyproxy/internal/discovery"
 	"tallyproxy/internal/upstream"
 	"tallyproxy/policy"
+	"tallyproxy/wallclock"
 )
 
 // endpoint is one process of an endpoint. Each shard has its own connections to it, within the
@@ -17,6 +18,36 @@
 	started policy.Micros
 }
 
+// endpointStart is the start of an endpoint, on the list's wall clock and on the policy's clock.
+type endpointStart struct{ listed, local policy.Micros }
+
+// reading returns the clocks at the arrival of an event.
+func (r *Router) reading(e discovery.Event) wallclock.Reading {
+	return wallclock.Reading{Now: r.Now(), Wall: policy.Micros(r.wallClock().UnixMicro()), AnnouncedWithin: e.AnnouncedWithin}
+}
+
+// localStart returns when a listed endpoint started, on the policy's clock; 0 if long ago. The same
+// start has the same time in every list. The caller holds mu.
+func (r *Router) localStart(node discovery.Endpoint, reading wallclock.Reading) policy.Micros {
+	if node.Started == 0 {
+		delete(r.starts, node.ID)
+		return 0
+	}
+	start, known := r.starts[node.ID]
+	if !known || start.listed != node.Started {
+		start = endpointStart{listed: node.Started, local: reading.Local(node.Started)}
+		r.starts[node.ID] = start
+	}
+	return start.local
+}
+
+// forget drops what is kept of an endpoint that the list no longer names. The caller holds mu.
+func (r *Router) forget(id string) {
+	delete(r.endpoints, id)
+	delete(r.listed, id)
+	delete(r.starts, id)
+}
+
 func (r *Router) newEndpoint(node discovery.Endpoint) *endpoint {
 	e := &endpoint{make([]*upstream.Endpoint, len(r.shards)), node.Address, node.Started}
 	for i := range e.byShard {
@@ -62,15 +93,15 @@
 	defer r.epochs.Publish()
 	switch {
 	case e.HasEndpoints:
-		r.updateEndpoints(e.Endpoints, e.Snapshot)
+		r.updateEndpoints(e.Endpoints, e.Snapshot, r.reading(e))
 	case e.PurgedAt > 0:
-		r.purge(e.Object, e.Group, e.PurgedAt)
+		r.purge(e.Object, e.Group, r.reading(e).Local(e.PurgedAt))
 	}
 }
 
 // updateEndpoints applies an endpoint list, or only its changed entries if complete is false. The
 // caller holds mu.
-func (r *Router) updateEndpoints(nodes []discovery.Endpoint, complete bool) {
+func (r *Router) updateEndpoints(nodes []discovery.Endpoint, complete bool, reading wallclock.Reading) {
 	updated, present := make([]policy.Endpoint, len(nodes)), map[string]bool{}
 	for i, node := range nodes {
 		if r.listed[node.ID] = node; node.State == policy.Removed {
@@ -80,14 +111,14 @@
 			node.State = policy.Draining
 		}
 		updated[i], present[node.ID] = node.Endpoint, true
+		updated[i].Started = r.localStart(node, reading)
 		r.updateEndpoint(node)
 	}
 	if complete {
 		for id, e := range r.endpoints {
 			if !present[id] {
 				e.closeWhenIdle()
-				delete(r.endpoints, id)
-				delete(r.listed, id)
+				r.forget(id)
 			}
 		}
 	}
@@ -104,6 +135,7 @@
 		e = nil
 	}
 	if node.State == policy.Removed {
+		r.forget(node.ID)
 		return
 	}
 	if e == nil {
--- a/internal/dispatch/events_test.go
+++ b/internal/dispatch/events_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"tallyproxy/internal/discovery"
 	"tallyproxy/policy"
@@ -34,3 +36,46 @@
 	write(t, earlierProcess, "a000000000000001 data - 0\r\n\r\n")
 	h.expectAnswer("1 200  ")
 }
+
+// TestClockSteps guards against a step of the wall clock, while the director runs, that makes a node
+// that starts afterwards look as old or as young as the step is large, and lets copies older than a
+// purge pass.
+func TestClockSteps(t *testing.T) {
+	const hour = 3600 * policy.Second
+	for _, c := range []struct {
+		name         string
+		machine      policy.Micros // step of the director's wall clock
+		platform     policy.Micros // step of the platform's wall clock
+		announced    policy.Micros // AnnouncedWithin of the events
+		minAge, want policy.Micros // the age that is given to a start 2 s before, from minAge to want
+	}{
+		{"none", 0, 0, 0, 2 * policy.Second, 3 * policy.Second},
+		{"all clocks back", -hour, -hour, 0, 2 * policy.Second, 3 * policy.Second},
+		{"all clocks forward", hour, hour, 0, 0, 3 * policy.Second},
+		{"the director's back", -hour, 0, 0, 0, 3 * policy.Second},
+		{"the director's forward", hour, 0, 0, 2 * policy.Second, 3 * policy.Second},
+		{"the platform's back, polled a second ago", 0, -hour, policy.Second, 0, policy.Second * 3 / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.router.wallClock = func() time.Time { return time.Now().Add(c.machine.Duration()) }
+			happened := policy.Micros(time.Now().UnixMicro()) - 2*policy.Second + c.platform
+			node := discovery.Endpoint{Endpoint: policy.Endpoint{ID: "e7", Started: happened}, Address: h.endpoint.Addr().String()}
+			h.router.Apply([]discovery.Event{
+				{HasEndpoints: true, Endpoints: []discovery.Endpoint{node}, AnnouncedWithin: c.announced},
+				{Object: "o", Group: policy.AllGroups, PurgedAt: happened, AnnouncedWithin: c.announced},
+			})
+			h.expectCall("endpoints 1 false")
+			var purgedAt policy.Micros
+			if _, err := fmt.Sscanf(receive(t, h.policy.calls), "purge o -1 %d", &purgedAt); err != nil {
+				t.Fatal(err)
+			}
+			now, startedAt := h.router.Now(), h.router.starts["e7"].local
+			for name, at := range map[string]policy.Micros{"start": startedAt, "purge": purgedAt} {
+				if age := now - at; age < c.minAge || age > c.want {
+					t.Errorf("%s: age %v, want %v to %v", name, age.Duration(), c.minAge.Duration(), c.want.Duration())
+				}
+			}
+		})
+	}
+}
