Measure reads and accepts on the monotonic clock

What callers would see after a step of the wall clock: after a step back a connection that had just been read counted as unread since the attempt, so a cancel reset it with all its requests; after a step forward a silent one counted as read. At a drain QuietFor took a step for quiet or for load.

Cause: lastRead and lastAccept were Unix times. Both count from the start of their pool or server now, on the monotonic clock. A test that steps the clock of a process was not written.

--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -32,7 +32,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
-		s.lastAccept.Store(time.Now().UnixNano())
+		s.lastAccept.Store(time.Since(s.startedAt).Nanoseconds())
 		// out of file descriptors, or the client disconnected before it was accepted
 		if err != nil {
 			slog.Warn(logevent.AcceptFailed, "err", err)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,7 +47,8 @@
 
 	maxConns     atomic.Int64
 	notServing   atomic.Bool
-	lastAccept   atomic.Int64  // Unix time in nanoseconds
+	startedAt    time.Time
+	lastAccept   atomic.Int64  // time since startedAt in nanoseconds; negative before the first
 	awaitingSlot atomic.Bool   // an accepted connection waits until fewer than maxConns are open
 	openAccepts  atomic.Int64  // calls of Serve that have not returned
 	connEnded    chan struct{} // one element: a connection has ended since the last receive
@@ -64,8 +66,9 @@
 func New(handlers []Handler, site config.Site, pool *bufpool.Pool, maxConns int, timeouts policy.Timeouts) *Server {
 	s := &Server{
 		handlers: handlers, contentTypes: map[string]*policy.ContentType{}, pool: pool, timeouts: timeouts,
-		conns: map[*Conn]struct{}{}, connEnded: make(chan struct{}, 1),
+		conns: map[*Conn]struct{}{}, connEnded: make(chan struct{}, 1), startedAt: time.Now(),
 	}
+	s.lastAccept.Store(math.MinInt64 / 2)
 	for i, name := range site.TypeNames {
 		s.contentTypes[name] = site.ContentTypes[i]
 	}
@@ -90,7 +93,7 @@
 
 // QuietFor reports whether no connection arrived within the given period and none waits for a slot.
 func (s *Server) QuietFor(period time.Duration) bool {
-	return !s.awaitingSlot.Load() && time.Now().UnixNano()-s.lastAccept.Load() >= int64(period)
+	return !s.awaitingSlot.Load() && time.Since(s.startedAt).Nanoseconds()-s.lastAccept.Load() >= period.Nanoseconds()
 }
 
 // remove deletes an ended connection from the table and wakes waitForSlot.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -75,7 +75,7 @@
 		return
 	}
 	a.confirm = confirm
-	unresponsive := c.lastRead.Load() < a.sentAt.UnixNano()
+	unresponsive := c.lastRead.Load() < c.endpoint.pool.sinceStart(a.sentAt)
 	if confirm && (unresponsive || len(c.attempts) == 1) {
 		c.reset()
 		return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,7 +33,7 @@
 	unconfirmed  []*Attempt          // cancelled attempts with an unanswered probe, oldest first
 	queue        []message           // messages to be written
 	wake         chan struct{}       // signals the writer to check queue and closed
-	lastRead     atomic.Int64        // time of the last read or the dial, in Unix ns; needs no lock
+	lastRead     atomic.Int64        // time of the last read or the dial, see Pool.sinceStart; needs no lock
 	lastUsed     time.Time           // time of the last request queued or response ended
 	unsolicited  int                 // number of responses without a request
 	retired      bool                // accepts no further requests
@@ -127,7 +127,7 @@
 		return false
 	}
 	c.netConn = netConn
-	c.lastRead.Store(time.Now().UnixNano())
+	c.lastRead.Store(c.endpoint.pool.sinceStart(time.Now()))
 	for _, a := range c.attempts {
 		a.stage = NothingWritten
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,7 @@
 	limit       atomic.Int64  // maximum number of connections, without firstConnectionReserve
 	connections atomic.Int64  // connections open or being opened, including probes
 	done        chan struct{} // closed by Close
+	startedAt   time.Time     // see sinceStart
 	mayWrite    func() bool   // see SetWriteCheck
 
 	mu             sync.Mutex // guards the fields below
@@ -34,6 +35,7 @@
 		buffers:   buffers,
 		timeouts:  timeouts,
 		done:      make(chan struct{}),
+		startedAt: time.Now(),
 		mayWrite:  func() bool { return true },
 		endpoints: map[*Endpoint]struct{}{},
 	}
@@ -67,6 +69,9 @@
 	})
 }
 
+// sinceStart returns the time from the pool's creation to t, on the monotonic clock.
+func (p *Pool) sinceStart(t time.Time) int64 { return int64(t.Sub(p.startedAt)) }
+
 // NewEndpoint returns an endpoint for a node process at an IPv4 address and port. It opens no
 // connection yet. The endpoint stays in the pool until CloseWhenIdle is called.
 func (p *Pool) NewEndpoint(address string) *Endpoint {
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -61,7 +61,7 @@
 		c.endpoint.pool.logBadResponse(c.endpoint.address, err)
 	}
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(c.endpoint.pool.sinceStart(time.Now()))
 		if parseErr := responses.parse(buffer[:n]); parseErr != nil {
 			err = parseErr
 			c.endpoint.pool.logBadResponse(c.endpoint.address, err)
