Take the next connection at once when accept fails for one alone

Where accept returned the error of a connection whose client had gone, or of the network, every other client waited 0.1 s and an idle one was closed.

Cause: each error of Accept was taken for a shortage. Linux passes errors of the new connection on (accept(2)); those now go on at once. EMFILE, ENFILE, ENOBUFS and ENOMEM are as before.

TestAcceptErrors returns each error at the listener: 7 of its 11 cases fail without the fix, the next connection waits for the whole pause. TestAcceptError plays what it played, by the same listener.

--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -5,6 +5,8 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,8 +35,10 @@
 			return err
 		}
 		s.lastAccept.Store(time.Since(s.startedAt).Nanoseconds())
-		// out of file descriptors, or the client disconnected before it was accepted
-		if err != nil {
+		if err != nil && isConnectionError(err) {
+			continue
+		}
+		if err != nil { // out of file descriptors or memory
 			slog.Warn(logevent.AcceptFailed, "err", err)
 			s.evictIdle(1)
 			time.Sleep(s.timeouts.PollRetry.Duration())
@@ -45,6 +49,19 @@
 	}
 }
 
+// connectionErrors are errors that accept returns for the connection that it would have returned:
+// the client has left, or the network between has failed.
+var connectionErrors = []error{
+	syscall.ECONNABORTED, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.ETIMEDOUT, syscall.ECONNRESET, syscall.EPERM, syscall.EINTR,
+}
+
+// isConnectionError reports whether an error of Accept concerns a single connection. The next one
+// can be accepted at once, and no other client has to make room for it.
+func isConnectionError(err error) bool {
+	return slices.ContainsFunc(connectionErrors, func(target error) bool { return errors.Is(err, target) })
+}
+
 // start adds a connection to the table and runs it.
 func (s *Server) start(c *Conn) {
 	s.mu.Lock()
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -83,21 +84,71 @@
 	}
 }
 
-// emfileListener is a listener whose first Accept fails because the process has no file descriptor
-// left.
-type emfileListener struct {
+// failingListener is a listener that fails once with an error, after it has accepted the given
+// number of connections.
+type failingListener struct {
 	net.Listener
-	failed bool
+	err      error
+	accepted int // connections still to be accepted before the error
 }
 
-func (l *emfileListener) Accept() (net.Conn, error) {
-	if !l.failed {
-		l.failed = true
-		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.accepted--; l.accepted == -1 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", l.err)}
 	}
 	return l.Listener.Accept()
 }
 
+// TestAcceptErrors guards against a listener that keeps clients waiting where accept failed for one
+// connection alone, and against one that spins during a shortage.
+func TestAcceptErrors(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for _, c := range []struct {
+		err      error
+		shortage bool
+	}{
+		{syscall.EMFILE, true}, {syscall.ENFILE, true}, {syscall.ENOBUFS, true}, {syscall.ENOMEM, true},
+		{syscall.ECONNABORTED, false}, {syscall.EPROTO, false}, {syscall.EHOSTUNREACH, false}, {syscall.ENETUNREACH, false},
+		{syscall.ETIMEDOUT, false}, {syscall.EPERM, false}, {syscall.EINTR, false},
+	} {
+		t.Run(c.err.Error(), func(t *testing.T) {
+			t.Parallel()
+			listener := listen(t)
+			timeouts := policy.Timeouts{
+				WriteFlush: policy.Second, PollRetry: policy.MicrosOf(pause), RequestRead: 5 * policy.Second, DownstreamIdle: 5 * policy.Second,
+			}
+			s := New([]Handler{testHandler{closedConns: make(chan *Conn, 4)}}, site, bufpool.New(1), 4, timeouts)
+			done := make(chan error, 1)
+			failing := &failingListener{listener, c.err, 1}
+			go func() { done <- s.Serve(failing) }()
+			target := &testServer{address: listener.Addr().String()}
+			status := func(c testClient, tag string) {
+				c.send(t, frame("STATUS", tag))
+				if got := c.answer(t); got != tag+" serving  " {
+					t.Fatalf("got %q", got)
+				}
+			}
+			idle := target.dial(t)
+			status(idle, "1")
+			startedAt := time.Now()
+			late := target.dial(t)
+			status(late, "1")
+			if waited := time.Since(startedAt); waited >= pause/2 != c.shortage {
+				t.Errorf("the next connection waited for %v", waited)
+			}
+			if !c.shortage {
+				status(idle, "2")
+			}
+			idle.close(t)
+			late.close(t)
+			closeListener(t, listener)
+			if err := receive(t, done); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("Serve returned %v", err)
+			}
+		})
+	}
+}
+
 // TestAcceptError guards against Serve returning when Accept fails. It must return only once the
 // listener is closed.
 func TestAcceptError(t *testing.T) {
@@ -105,7 +156,7 @@
 	s := New([]Handler{testHandler{closedConns: make(chan *Conn, 1)}}, site, bufpool.New(1), 1,
 		policy.Timeouts{WriteFlush: policy.Second, PollRetry: policy.Second / 5, RequestRead: policy.Second, DownstreamIdle: policy.Second})
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(&emfileListener{Listener: listener}) }()
+	go func() { done <- s.Serve(&failingListener{listener, syscall.EMFILE, 0}) }()
 	c := (&testServer{address: listener.Addr().String()}).dial(t)
 	c.send(t, frame("STATUS", "1"))
 	if got := c.answer(t); got != "1 serving  " {
