Do not blame a node for what this machine lacks to connect to it

Without descriptors, memory, ports or a route for a moment, each node that was tried counted a failed connection, became half-open and was taken for restarted, in slow start; three in a row ejected it.

Cause: every error of a dial was ConnectFailed, the node's failure. EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN, ENETUNREACH and ENETDOWN come from this machine before anything is sent: they wrap ErrLocalResources now and end an attempt as NotSent, like a connection limit. It goes to the next node and counts against none. A probe for another director's hint that fails so says nothing, also at the connection limit, which it blamed the node for.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -136,7 +136,7 @@
 	switch {
 	case !written && errors.Is(err, upstream.ErrWithdrawn):
 		return policy.Withdrawn
-	case !written && errors.Is(err, upstream.ErrConnectionLimit): // says nothing about the endpoint
+	case !written && upstream.IsLocal(err):
 		return policy.NotSent
 	case !written && failure.Cancelled:
 		return policy.NotSent
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"tallyproxy/internal/upstream"
@@ -46,10 +47,12 @@
 }
 
 // TestNoConnectionAvailable guards against blaming an endpoint when the pool's limit left no
-// connection for it.
+// connection for it, or when this machine could open none.
 func TestNoConnectionAvailable(t *testing.T) {
-	err := &upstream.Error{Stage: upstream.NotConnected, Err: upstream.ErrConnectionLimit}
-	if got := resultOf(upstream.Response{}, err); got != policy.NotSent {
-		t.Errorf("got %d", got)
+	for _, cause := range []error{upstream.ErrConnectionLimit, upstream.ErrLocalResources} {
+		err := &upstream.Error{Stage: upstream.NotConnected, Err: fmt.Errorf("%w: cause", cause)}
+		if got := resultOf(upstream.Response{}, err); got != policy.NotSent {
+			t.Errorf("%v: got %d", cause, got)
+		}
 	}
 }
--- a/internal/server/gossip_hints.go
+++ b/internal/server/gossip_hints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tallyproxy/internal/logevent"
+	"tallyproxy/internal/upstream"
 	"tallyproxy/membership"
 	"tallyproxy/policy"
 	"tallyproxy/routing"
@@ -92,7 +93,11 @@
 	if address == "" {
 		return
 	}
-	reachable := g.nodes.Probe(address) == nil
+	err := g.nodes.Probe(address)
+	if upstream.IsLocal(err) { // it says nothing about the node
+		return
+	}
+	reachable := err == nil
 	restarted, mayBeFull := hint.UnresolvedByProbe()
 	slog.Info(logevent.HintProbed, "endpoint", hint.Node, "kind", hint.Condition, "reachable", reachable)
 	g.routers.probeDone(hint.Node, reachable && !restarted, reachable && mayBeFull)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -115,11 +115,11 @@
 // open dials the endpoint. It returns false if the dial fails or the connection was closed in the
 // meantime.
 func (c *conn) open() bool {
-	netConn, err := net.DialTimeout("tcp4", c.endpoint.address, c.endpoint.pool.timeouts.Connect.Duration())
+	netConn, err := c.endpoint.pool.dial("tcp4", c.endpoint.address, c.endpoint.pool.timeouts.Connect.Duration())
 	c.endpoint.mu.Lock()
 	defer c.endpoint.mu.Unlock()
 	if err != nil {
-		c.close(err)
+		c.close(dialError(err))
 		return false
 	}
 	if c.closed {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 )
 
 // Stage is how far an attempt had progressed when it failed. Later stages have larger values.
@@ -43,6 +44,9 @@
 	// ErrConnectionLimit means that the pool's limit allowed no connection for the attempt or
 	// probe.
 	ErrConnectionLimit = errors.New("connection limit reached")
+	// ErrLocalResources means that this machine could not open a connection, for lack of
+	// descriptors, memory, ports or a route. It says nothing about the node.
+	ErrLocalResources = errors.New("no local resources for a connection")
 	// ErrWithdrawn means that the request was dropped before it was written, because its endpoint
 	// or its source was draining, it was superseded, or the check set by SetWriteCheck refused the
 	// write.
@@ -55,3 +59,26 @@
 	errStalled      = errors.New("read timed out in the middle of a response")
 	errNoBuffer     = errors.New("no buffer is available for the response body")
 )
+
+// localErrors are the errors of socket and connect that this machine causes. The kernel returns them
+// before it sends anything, or because it has no route to send by.
+var localErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.ENETUNREACH, syscall.ENETDOWN,
+}
+
+// IsLocal reports whether an error of an attempt or a probe has its cause in this process or this
+// machine, so that it says nothing about the node.
+func IsLocal(err error) bool {
+	return errors.Is(err, ErrConnectionLimit) || errors.Is(err, ErrLocalResources)
+}
+
+// dialError returns the error of a failed dial, which wraps ErrLocalResources if this machine caused
+// it.
+func dialError(err error) error {
+	for _, local := range localErrors {
+		if errors.Is(err, local) {
+			return fmt.Errorf("%w: %w", ErrLocalResources, err)
+		}
+	}
+	return err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,8 @@
 	connections atomic.Int64  // connections open or being opened, including probes
 	done        chan struct{} // closed by Close
 	startedAt   time.Time     // see sinceStart
-	mayWrite    func() bool   // see SetWriteCheck
+	dial        func(network, address string, timeout time.Duration) (net.Conn, error)
+	mayWrite    func() bool // see SetWriteCheck
 
 	mu             sync.Mutex // guards the fields below
 	endpoints      map[*Endpoint]struct{}
@@ -36,6 +38,7 @@
 		timeouts:  timeouts,
 		done:      make(chan struct{}),
 		startedAt: time.Now(),
+		dial:      net.DialTimeout,
 		mayWrite:  func() bool { return true },
 		endpoints: map[*Endpoint]struct{}{},
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"tallyproxy/internal/bufpool"
 	"tallyproxy/policy"
@@ -146,3 +149,32 @@
 		}
 	}
 }
+
+// TestLocalDialErrors guards against a node that is blamed, and then ejected, for what this machine
+// lacks, and against a node's own failures that are taken for this machine's.
+func TestLocalDialErrors(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		local bool
+	}{
+		{syscall.EMFILE, true}, {syscall.ENFILE, true}, {syscall.ENOBUFS, true}, {syscall.ENOMEM, true}, {syscall.EADDRNOTAVAIL, true},
+		{syscall.EAGAIN, true}, {syscall.ENETUNREACH, true}, {syscall.ENETDOWN, true},
+		{syscall.ECONNREFUSED, false}, {syscall.EHOSTUNREACH, false}, {syscall.ETIMEDOUT, false}, {syscall.ECONNRESET, false},
+	} {
+		t.Run(c.err.Error(), func(t *testing.T) {
+			pool := New(bufpool.New(1), policy.Timeouts{Connect: policy.Second, MaxStreams: 1, PreferredStreams: 1, Idle: policy.Second}, 4)
+			defer pool.Close()
+			pool.dial = func(string, string, time.Duration) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", c.err)}
+			}
+			failed := make(chan error, 1)
+			pool.NewEndpoint("127.0.0.1:1").Send(Request{ID: "a"}, func(_ Response, err error) { failed <- err })
+			for name, err := range map[string]error{"attempt": <-failed, "probe": pool.Probe("127.0.0.1:1")} {
+				var failure *Error
+				if !errors.As(err, &failure) || failure.Stage != NotConnected || errors.Is(err, ErrLocalResources) != c.local || !errors.Is(err, c.err) {
+					t.Errorf("%s: %v", name, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -16,9 +16,9 @@
 		return ErrConnectionLimit
 	}
 	timeout := p.timeouts.Connect.Duration()
-	netConn, err := net.DialTimeout("tcp4", address, timeout)
+	netConn, err := p.dial("tcp4", address, timeout)
 	if err != nil {
-		return &Error{Stage: NotConnected, Err: err}
+		return &Error{Stage: NotConnected, Err: dialError(err)}
 	}
 	// An error of Close loses nothing: the answer was read, or the probe has failed.
 	defer func() { _ = netConn.Close() }()
