--- a/internal/faulttest/soak_schedule_test.go
+++ b/internal/faulttest/soak_schedule_test.go
@@ -115,10 +115,20 @@
 		ChangeCluster: func(c *fakes.Spec) {
 			c.ContentTypes[0].MeanTransfer, c.ContentTypes[1].MeanTransfer = 8*time.Millisecond, 40*time.Millisecond
 			c.ContentTypes[0].RequestShare, c.ContentTypes[1].RequestShare, c.ContentTypes[2].RequestShare = 0.5, 0.38, 0.12
+			if s.Seed%3 == 2 {
+				sharpenColdStarts(c)
+			}
 		},
 	}
 }
 
+// sharpenColdStarts makes cold caches fall at a lower load, over shorter windows and for longer, and
+// requests hit warm caches nearly always. The directors' settings tell the same figures.
+func sharpenColdStarts(c *fakes.Spec) {
+	c.EdgeOverloadFactor, c.OverloadWindow, c.EdgeSlowStart = 2.5, 2*time.Second, 15*time.Second
+	c.Objects = 20
+}
+
 // soakClients is a number of soak clients with the same behavior.
 type soakClients struct {
 	count    int
