Tell a node what is left of a request's time when the request is written

Cause: the timeout was taken at the routing decision and encoded unchanged. Left: a request whose bytes wait in the system because the node does not read.

TestTimeoutAfterWait (a dialer that takes 0.4 s): told 1000 ms with 600 ms left before. The harness of dispatch sets MaxDecisionAge, so that its exact comparison of 60000 ms holds on a slow machine.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -131,6 +131,7 @@
 	timeouts := policy.Timeouts{
 		Connect: 10 * policy.Second, Idle: 100 * policy.Second, PreferredStreams: 8, MaxStreams: 8, WriteFlush: 10 * policy.Second,
 		ReadStall: 10 * policy.Second, RequestRead: 60 * policy.Second, DownstreamIdle: 60 * policy.Second,
+		MaxDecisionAge: 10 * policy.Second, // a slow test does not change the timeout that an endpoint is told
 	}
 	buffers := bufpool.New(64)
 	pool := upstream.New(buffers, timeouts, 8)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -36,6 +36,7 @@
 	done   chan struct{} // closed by Router.Stop
 
 	// The shard's goroutine owns the fields below.
+
 	// open requests, by connection and tag; removed when they end
 	requests   map[*downstream.Conn]map[uint64]*request
 	timers     *timerwheel.Wheel[*request]
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,6 +10,8 @@
 	endpoint *Endpoint
 	previous []*Attempt // earlier attempts of the client request; see Send
 	maxSize  int        // upper bound of the size of the encoded request, in bytes
+	// expiresAt is when the timeout of the request ends; the endpoint is told what is left of it.
+	expiresAt time.Time
 
 	// Guarded by the endpoint's lock.
 	conn      *conn     // the connection that the attempt was last queued on
@@ -30,13 +32,15 @@
 // used. All attempts share one ID, so a late or duplicate response to an earlier attempt would be
 // taken for the response to this one.
 func (e *Endpoint) Send(request Request, done func(Response, error), previous ...*Attempt) *Attempt {
+	now := time.Now()
 	a := &Attempt{
-		request:  request,
-		done:     done,
-		endpoint: e,
-		previous: previous,
-		maxSize:  maxRequestHead + request.Body.Len(),
-		sentAt:   time.Now(),
+		request:   request,
+		done:      done,
+		endpoint:  e,
+		previous:  previous,
+		maxSize:   maxRequestHead + request.Body.Len(),
+		expiresAt: now.Add(request.Timeout),
+		sentAt:    now,
 	}
 	e.pool.evictIdle(e)
 	e.mu.Lock()
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"fmt"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +37,29 @@
 		})
 	}
 }
+
+// TestTimeoutAfterWait guards against an endpoint that is told the timeout of the routing decision
+// although the request has waited for its connection since: the endpoint would go on after the
+// client has given up.
+func TestTimeoutAfterWait(t *testing.T) {
+	const wait, timeout = 400 * time.Millisecond, time.Second
+	f := newFixture(t, testTimeouts, 8)
+	dial := f.pool.dial
+	f.pool.dial = func(network, address string, timeout time.Duration) (net.Conn, error) {
+		time.Sleep(wait)
+		return dial(network, address, timeout)
+	}
+	f.endpoint.Send(Request{ID: "a1", ContentType: "clip", Object: "o", Timeout: timeout}, func(Response, error) {})
+	line, err := f.accept().in.ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(line, "patience=")
+	var patience int64
+	if _, err := fmt.Sscanf(rest, "%d", &patience); err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	if left := (timeout - wait).Milliseconds(); patience > left || patience < left/2 {
+		t.Errorf("the endpoint was told %d ms, %d ms are left", patience, left)
+	}
+}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -95,6 +95,10 @@
 		c.finish(a, Response{}, &Error{Stage: NothingWritten, Err: ErrWithdrawn})
 		m.attempt = nil
 	default:
+		// A decision is acted on as it is until it is older than MaxDecisionAge.
+		if left := time.Until(a.expiresAt); a.request.Timeout-left > c.endpoint.pool.timeouts.MaxDecisionAge.Duration() {
+			a.request.Timeout = left
+		}
 		b.data = appendRequest(b.data, &a.request)
 		// The stage is set before the write returns, since the endpoint may act on the request
 		// before.
