--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"log/slog"
 	"time"
 
 	"tallyproxy/internal/logevent"
@@ -35,9 +34,11 @@
 	a.Attempt = d.target.byShard[s.number].Send(s.upstreamRequest(req, d), func(response upstream.Response, err error) {
 		s.calls.PutUnbounded(func() {
 			result := resultOf(response, err)
-			if result != policy.Succeeded && logevent.Debugging() {
-				slog.Debug(logevent.AttemptFailed, "txn", req.message.TransactionID, "attempt", number, "endpoint", d.endpointID,
-					"result", result, "err", err, "client_left", !req.conn.IsPending(req.tag))
+			if result != policy.Succeeded {
+				logevent.Detail(logevent.AttemptFailed, func() []any {
+					return []any{"txn", req.message.TransactionID, "attempt", number, "endpoint", d.endpointID,
+						"result", result, "err", err, "client_left", !req.conn.IsPending(req.tag)}
+				})
 			}
 			s.attemptEnded(req, number, result, response)
 		})
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"log/slog"
 	"slices"
 
 	"tallyproxy/internal/downstream"
@@ -143,10 +142,10 @@
 	if d.Unprocessable {
 		req.conn.MarkSuspect()
 	}
-	if logevent.Debugging() {
-		slog.Debug(logevent.RequestEnded, "txn", req.message.TransactionID, "rejected", d.Action == policy.Reject, "reason", d.Reason,
-			"attempts", len(req.attempts), "waited", (s.router.Now() - req.ArrivedAt).Duration(), "retry_after", d.RetryAfter.Duration())
-	}
+	logevent.Detail(logevent.RequestEnded, func() []any {
+		return []any{"txn", req.message.TransactionID, "rejected", d.Action == policy.Reject, "reason", d.Reason,
+			"attempts", len(req.attempts), "waited", (s.router.Now() - req.ArrivedAt).Duration(), "retry_after", d.RetryAfter.Duration()}
+	})
 	if d.Action == policy.Reject {
 		s.router.rejected.Add(1)
 		req.conn.Reject(req.tag, d.RetryAfter.Duration())
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -144,10 +144,9 @@
 	if c.phase == phaseClosed {
 		return
 	}
-	if logevent.Debugging() {
-		slog.Debug(logevent.DownstreamClosed, "client", c.netConn.RemoteAddr(), "reason", reason, "phase", int(c.phase),
-			"pending", len(c.pending), "unwritten", len(c.queue))
-	}
+	logevent.Detail(logevent.DownstreamClosed, func() []any {
+		return []any{"client", c.netConn.RemoteAddr(), "reason", reason, "phase", int(c.phase), "pending", len(c.pending), "unwritten", len(c.queue)}
+	})
 	c.phase = phaseClosed
 	for _, queued := range c.queue {
 		queued.body.Free()
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -3,15 +3,6 @@
 // operators, and the fault tests read some of them.
 package logevent
 
-import (
-	"context"
-	"log/slog"
-)
-
-// Debugging reports whether events at debug level are logged. Callers on the way of a request check
-// it before they put the details of an event together.
-func Debugging() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
-
 // Events of the director's start, reload and shutdown.
 const (
 	Started             = "started"               // the director listens for clients
@@ -68,6 +59,7 @@
 	AttemptFailed    = "attempt_failed"    // an attempt did not succeed, with what follows it
 	DownstreamClosed = "downstream_closed" // a client's connection was closed, with the reason
 	UpstreamClosed   = "upstream_closed"   // a connection to a cache node was closed, likewise
+	DebugSuppressed  = "debug_suppressed"  // lines of these events that were left out, see Detail
 )
 
 // Events of gossip with other directors.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -167,9 +167,9 @@
 		return
 	}
 	c.closed = true
-	if logevent.Debugging() {
-		slog.Debug(logevent.UpstreamClosed, "endpoint", c.endpoint.address, "open", c.netConn != nil, "attempts", len(c.attempts), "reason", err)
-	}
+	logevent.Detail(logevent.UpstreamClosed, func() []any {
+		return []any{"endpoint", c.endpoint.address, "open", c.netConn != nil, "attempts", len(c.attempts), "reason", err}
+	})
 	if i := slices.Index(c.endpoint.conns, c); i >= 0 {
 		c.endpoint.conns = slices.Delete(c.endpoint.conns, i, i+1)
 	}
--- a/routing/coldfleet_test.go
+++ b/routing/coldfleet_test.go
@@ -39,7 +39,7 @@
 	directors     int
 	window        policy.Micros
 	parent        bool    // parents start cold, not edge caches
-	sizesTold     bool    // the list tells the endpoints' sizes, and no link is told
+	sizesKnown    bool    // the list tells the endpoints' sizes, and no link is told
 	requestSizes  bool    // requests tell the size of their answers
 	edges         int     // warm edge caches before the start
 	parents       int     // warm parents before the start
@@ -59,7 +59,7 @@
 	restarted     float64 // share of the directors that are replaced soon after the start
 	removed       int     // warm endpoints of the tier that are removed around the start
 	added         int     // warm endpoints of the tier that are added around the start
-	toldLate      bool    // directors hear of the start at different times
+	announcedLate bool    // directors hear of the start at different times
 	connect       connectMode
 	windows       int           // overload windows that are simulated after the start
 	connectLimit  policy.Micros // longest time in which a connection may come up
@@ -82,7 +82,7 @@
 	}
 	f.settings = policy.Settings{
 		Zone: 1, ZoneDirectors: spec.directors, TotalDirectors: spec.directors, ParentKind: 1, OriginKind: 2, CanCancel: true,
-		MaxAttempts: 8, ReportsCacheStatus: !spec.sizesTold, WeightsAreSizes: spec.sizesTold, PurgeRetention: 6 * policy.Second,
+		MaxAttempts: 8, ReportsCacheStatus: !spec.sizesKnown, WeightsAreSizes: spec.sizesKnown, PurgeRetention: 6 * policy.Second,
 		ConnectTimeout: spec.connectLimit,
 		EdgeSlowStart:  policy.SlowStart{InitialShare: spec.initialShare, Duration: 12 * policy.Second, OverloadFactor: 2.5, OverloadWindow: spec.window},
 	}
@@ -93,7 +93,7 @@
 	} else {
 		f.settings.TransferKBPerSecond = 1 // the unit of the link below
 	}
-	if !spec.sizesTold {
+	if !spec.sizesKnown {
 		f.settings.FillLinkKBPerSecond = spec.capacity * spec.linkRatio * float64(spec.edges) * f.settings.TransferKBPerSecond
 	}
 	for i := range spec.types {
@@ -162,7 +162,7 @@
 	slowStart, capacity := f.settings.EdgeSlowStart, f.spec.capacity*f.spec.sizeFactor
 	if f.spec.parent {
 		slowStart = f.settings.ParentSlowStart
-		if !f.spec.sizesTold { // parents together carry what the link does
+		if !f.spec.sizesKnown { // parents together carry what the link does
 			capacity = f.spec.capacity * f.spec.linkRatio * float64(f.spec.edges) / float64(f.spec.parents)
 		}
 	}
--- a/routing/coldfleetrun_test.go
+++ b/routing/coldfleetrun_test.go
@@ -105,7 +105,7 @@
 	}
 	for number := range f.routers {
 		delay := policy.Micros(0)
-		if f.spec.toldLate {
+		if f.spec.announcedLate {
 			delay = policy.Micros(f.rng.Int64N(int64(f.spec.window)))
 		}
 		f.at(f.now+delay, func() { f.routers[number].UpdateEndpoints(f.now, []policy.Endpoint{e}, false) })
@@ -191,7 +191,7 @@
 
 // status returns what an answer reports of its copy.
 func (f *coldFleet) status(status policy.CacheStatus) policy.CacheStatus {
-	if f.spec.sizesTold {
+	if f.spec.sizesKnown {
 		return policy.Unknown
 	}
 	return status
--- a/routing/coldrule_test.go
+++ b/routing/coldrule_test.go
@@ -49,7 +49,7 @@
 	chance := func(p float64) bool { return rng.Float64() < p }
 	spec := coldFleetSpec{
 		windows: 3, connectLimit: 400 * policy.Millisecond,
-		directors: int(logBetween(1, 901)), window: policy.Micros(logBetween(0.2, 5) * float64(policy.Second)), parent: chance(0.35), sizesTold: chance(0.3),
+		directors: int(logBetween(1, 901)), window: policy.Micros(logBetween(0.2, 5) * float64(policy.Second)), parent: chance(0.35), sizesKnown: chance(0.3),
 		requestSizes: chance(0.4), edges: 3 + rng.IntN(6), parents: 1 + rng.IntN(4), coldNodes: 1, linkRatio: between(0.25, 0.5), sizeFactor: 1,
 		initialShare: between(0.1, 0.4), workRatio: between(0.1, 0.9), types: 1 + rng.IntN(3), sigma: between(0, 1), hitsBefore: 1 - logBetween(0.01, 1),
 		objects: int(logBetween(20, 20_000)), heavyDirector: 1, demand: logBetween(0.5, 12),
@@ -72,10 +72,10 @@
 	if chance(0.2) {
 		spec.added = 1 + rng.IntN(3)
 	}
-	if !spec.sizesTold && !spec.parent {
+	if !spec.sizesKnown && !spec.parent {
 		spec.sizeFactor = between(0.5, 1.5)
 	}
-	spec.toldLate = chance(0.3)
+	spec.announcedLate = chance(0.3)
 	if chance(0.4) {
 		spec.connect = connectLate + connectMode(rng.IntN(2))
 	}
@@ -95,7 +95,7 @@
 		requests /= max(1-spec.hitsAfter, 0.1)
 	}
 	fleet := newColdFleet(0, coldFleetSpec{
-		directors: 1, window: spec.window, parent: spec.parent, sizesTold: spec.sizesTold, edges: spec.edges, parents: spec.parents, capacity: 1,
+		directors: 1, window: spec.window, parent: spec.parent, sizesKnown: spec.sizesKnown, edges: spec.edges, parents: spec.parents, capacity: 1,
 		linkRatio: spec.linkRatio, sizeFactor: spec.sizeFactor, initialShare: spec.initialShare, workRatio: spec.workRatio, types: spec.types,
 	})
 	return min(n, max(1, maxRequests/requests)) / fleet.capacityAt(0)
@@ -132,7 +132,7 @@
 			t.Parallel()
 			spec := drawColdFleet(rand.New(rand.NewPCG(seed, 2)))
 			spec.objects, spec.removed, spec.added, spec.coldNodes, spec.sizeFactor, spec.linkRatio = 20_000, 0, 0, 1, 1, 0.5
-			spec.connect, spec.toldLate, spec.parent, spec.heavyDirector = connectAtOnce, false, false, 1
+			spec.connect, spec.announcedLate, spec.parent, spec.heavyDirector = connectAtOnce, false, false, 1
 			spec.directors = min(spec.directors, 30)
 			n := float64(spec.directors) // each director has a few requests for the endpoint in each half window
 			spec.demand = 8 * n / overloadBound(n)
@@ -175,7 +175,7 @@
 		}},
 		{"connections come up late, short windows", 120, func(spec *coldFleetSpec) { spec.windows, spec.window, spec.connect = 9, policy.Second/5, connectLate }},
 		{"most directors restarted", 200, func(spec *coldFleetSpec) { spec.restarted = 0.7 }},
-		{"long transfers, not measured", 200, func(spec *coldFleetSpec) { spec.requestSizes, spec.sizesTold, spec.workRatio = false, true, 0.9 }},
+		{"long transfers, not measured", 200, func(spec *coldFleetSpec) { spec.requestSizes, spec.sizesKnown, spec.workRatio = false, true, 0.9 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/routing/slowstartreport.go
+++ b/routing/slowstartreport.go
@@ -23,19 +23,19 @@
 // SlowStartReport describes an endpoint in slow start at the time of an event, with the figures
 // that the router bases its budget on. Work is in microseconds of transfer time at the full rate.
 type SlowStartReport struct {
-	Event     SlowStartEvent
-	Endpoint  string        // ID in the endpoint list
-	Tier      string        // "edge" or "parent"
-	Age       policy.Micros // since the endpoint's start
-	Share     float64       // minimum share of its capacity that is available
-	Capacity  float64       // even share of the warm capacity, in transfers at the full rate
-	Quota     float64       // this director's part, as a multiple of its even share
-	MissRatio float64       // running share of answers that were misses
-	Budget    float64       // work that the present half of the overload window admits
-	HalfWork  float64       // work sent in the half of the overload window that is reported
-	PeakWork  float64       // largest work sent in a half of the overload window
-	Sent      int           // attempts sent since the endpoint's start
-	Deferred  int           // attempts that the budget did not admit since the endpoint's start
+	Event     SlowStartEvent // what has happened
+	Endpoint  string         // ID in the endpoint list
+	Tier      string         // "edge" or "parent"
+	Age       policy.Micros  // since the endpoint's start
+	Share     float64        // minimum share of its capacity that is available
+	Capacity  float64        // even share of the warm capacity, in transfers at the full rate
+	Quota     float64        // this director's part, as a multiple of its even share
+	MissRatio float64        // running share of answers that were misses
+	Budget    float64        // work that the present half of the overload window admits
+	HalfWork  float64        // work sent in the half of the overload window that is reported
+	PeakWork  float64        // largest work sent in a half of the overload window
+	Sent      int            // attempts sent since the endpoint's start
+	Deferred  int            // attempts that the budget did not admit since the endpoint's start
 }
 
 // slowStartCounts is what the router counts of an endpoint, for its slow start. Work sent in the
