Let the latency objective count for two measured transfers, not five

TestSlowStartWork's least work after one short transfer follows from the number (3/5 of the objective).

--- a/routing/cost.go
+++ b/routing/cost.go
@@ -10,7 +10,7 @@
 	meanSamples = 100
 	// assumedSamples is the number of observations that the assumed transfer time of a content type
 	// counts for in slowStartWork.
-	assumedSamples = 5
+	assumedSamples = 2
 	// minPriorityWeight replaces a priority weight of 0, which would cause a division by zero.
 	minPriorityWeight = 1e-9
 )
