Do not count requests as lost that a killed director held before it was restarted

The trace: the harness sent SIGTERM at 02.526, drew an early kill and carried it out at 02.557, after which nothing is owed; the new process served at 02.613; the client, short of processor time, noticed the end of its connection only at 02.669. It asked whether the director *is* killed, and by then it was running again.

Clients now ask whether the director was killed after their connection was opened: a target keeps when the killed process had exited. Before that the question is as it was, so nothing else is excused. The same question stood in Client.Attempt and is changed with it.

TestPipelinedClientCountsLosses has the case as its third one; it failed before (9 lost, 0 lost to kills).

--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -42,6 +42,7 @@
 	Zipf             *Zipf         // popularity of the requested objects
 
 	conn      net.Conn
+	openedAt  time.Duration // of conn, since the start of the cluster
 	answers   answerReader
 	tag       int       // tag of the last attempt
 	used      bool      // an attempt was sent on the connection
@@ -66,7 +67,7 @@
 		}
 		conn, err := dialer.DialContext(ctx, "tcp", c.Targets[c.Current].Addr)
 		if err == nil {
-			c.conn, c.answers, c.used = conn, answerReader{conn: conn}, false
+			c.conn, c.openedAt, c.answers, c.used = conn, c.Cluster.Now(), answerReader{conn: conn}, false
 			context.AfterFunc(ctx, func() { closeQuietly(conn) })
 			continue
 		}
@@ -99,7 +100,7 @@
 			return answer.status, answer.retryAfter, answer.body, nil
 		}
 		target := c.Targets[c.Current]
-		killed, paused := target.isKilled(), target.pausedAt(sentAt+timeout)
+		killed, paused := target.killedSince(c.openedAt), target.pausedAt(sentAt+timeout)
 		c.Close()
 		if reused && !resent && !killed && !errors.Is(err, errNoAnswer) {
 			continue // the director has closed the idle connection; resend the request once
--- a/internal/fakes/pipelined_test.go
+++ b/internal/fakes/pipelined_test.go
@@ -9,13 +9,19 @@
 )
 
 // TestPipelinedClientCountsLosses guards against miscounted losses: a request is lost if a director
-// received it and ended the connection without an answer, but not if the director was killed.
+// received it and ended the connection without an answer, but not if the director was killed, even
+// if it has been started again by the time the client notices.
 func TestPipelinedClientCountsLosses(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		killed bool
-		lost   bool
-	}{{"a connection ended under a request", false, true}, {"a director that was killed", true, false}} {
+		name      string
+		killed    bool
+		restarted bool // the director was killed and started again
+		lost      bool
+	}{
+		{"a connection ended under a request", false, false, true},
+		{"a director that was killed", true, false, false},
+		{"a director that was killed and started again", false, true, false},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			cluster := newTestCluster(t, func(*Spec) {})
 			listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -31,7 +37,14 @@
 					if err != nil {
 						return
 					}
-					time.AfterFunc(100*time.Millisecond, func() { closeQuietly(conn) })
+					time.AfterFunc(100*time.Millisecond, func() {
+						if c.restarted {
+							target.SetKilled(true)
+							target.SetKillCompleted(cluster.Now())
+							target.SetKilled(false)
+						}
+						closeQuietly(conn)
+					})
 				}
 			}()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -42,7 +55,7 @@
 			}
 			client.Run(ctx)
 			cluster.Clients.WithLock(func(s *ClientStats) {
-				if lost := s.Lost+len(s.LostAtEnds) > 0; lost != c.lost || c.killed && s.LostToKills == 0 {
+				if lost := s.Lost+len(s.LostAtEnds) > 0; lost != c.lost || !c.lost && s.LostToKills == 0 {
 					t.Errorf("%d lost, %d lost to kills", s.Lost+len(s.LostAtEnds), s.LostToKills)
 				}
 			})
--- a/internal/fakes/session.go
+++ b/internal/fakes/session.go
@@ -226,7 +226,7 @@
 	}
 	s.closed = true
 	s.client.Moments.Publish(ConnectionEnded)
-	killed := s.target.isKilled()
+	killed := s.target.killedSince(s.openedAt)
 	for tag, r := range s.requests {
 		switch {
 		case r.cancelled || r.overdue || r.sentAt == 0:
--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -12,6 +12,7 @@
 
 	mu              sync.Mutex
 	killed          bool
+	exitedAt        time.Duration // see SetKillCompleted
 	terminatedAt    time.Duration // SIGTERM, since the start of the cluster; 0 if not sent
 	descriptorsFull bool          // idle clients use them up; see SetCrowded
 	pauses          []pause       // the last one may still be open
@@ -34,6 +35,14 @@
 	t.killed, t.terminatedAt = killed, 0
 }
 
+// SetKillCompleted records that the process that was killed had exited at a time since the start of
+// the cluster: connections opened before were its own.
+func (t *Target) SetKillCompleted(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.exitedAt = at
+}
+
 // SetTerminated records that SIGTERM was sent to the director at a time since the start of the
 // cluster. The director still owes answers to the requests that it has.
 func (t *Target) SetTerminated(at time.Duration) {
@@ -104,8 +113,10 @@
 	return slices.ContainsFunc(t.pauses, func(p pause) bool { return at >= p.from && at-resumeDelay <= p.until })
 }
 
-func (t *Target) isKilled() bool {
+// killedSince reports whether the director was killed after a connection to it was opened at the
+// given time. It may have been started again since.
+func (t *Target) killedSince(openedAt time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.killed
+	return t.killed || openedAt < t.exitedAt
 }
--- a/internal/faulttest/director.go
+++ b/internal/faulttest/director.go
@@ -195,6 +195,7 @@
 	d.PeakMemoryMB() // before /proc loses the process
 	d.Signal(syscall.SIGKILL)
 	_ = d.Wait() // always "signal: killed"
+	d.SetKillCompleted(d.now())
 }
 
 // Restart waits for the exit of the process and starts it again, unless the context is done. If the
