--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -75,9 +75,8 @@
 		o.DelayedEnds)
 	if len(violations) > 0 || o.Requests < 500 {
 		history := o.History.String()
-		t.Errorf("violations: %v\nlost: %s\n%s\n%s\nend of the history:\n%s\nschedule: %v", violations, o.LostReasons,
-			strings.Join(o.ViolationEvents, "\n"), o.CrashDetail,
-			history[max(0, len(history)-6000):], schedule)
+		t.Errorf("end of the history:\n%s\nschedule: %v\n%s\n%s\nlost: %s\nviolations: %v", history[max(0, len(history)-6000):], schedule,
+			strings.Join(o.ViolationEvents, "\n"), o.CrashDetail, o.LostReasons, violations)
 	}
 }
 
