Answer a request that arrives in the moment its client's read time ends

Callers saw: a connection that had rested since it was opened sent its first request, which was read and never answered; the connection was closed.

Evidence: TestSoak/3, played three at once under -race: "lost 1 ... sent 14.385ms before: closed; connection opened 2.25214s ago, answers received on it false", no signal, no half-close logged as delayed. A director without a processor for the 14 ms in which the request had already arrived loses it; a director that was stopped for two seconds would lose the first request of every client, and the end of each message in two pieces.

What has arrived is read and answered first, and the sending side is closed only when the socket is empty, which is checked in the same moment. Clients that send nothing, or half a message, are closed as before (TestIdleAndIncompleteConnections), and one that never stops sending is bounded as in any drain (TestEndlessRequestsDuringDrain).

--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -123,17 +123,16 @@
 }
 
 // closeTimedOut drains connections that have been idle for DownstreamIdle and those whose message
-// is still incomplete after RequestRead.
+// is still incomplete after RequestRead. Input that has arrived by then is still processed, because
+// the reader may not have had the time to.
 func (s *Server) closeTimedOut(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.mu.Lock()
-		switch {
-		case c.phase != phaseActive:
-		case !c.messageStart.IsZero() && now.Sub(c.messageStart) > s.timeouts.RequestRead.Duration():
-			c.restrictInputLocked(inputDiscarded)
-		case c.idleLocked() && now.Sub(c.lastUsed) > s.timeouts.DownstreamIdle.Duration():
+		incomplete := !c.messageStart.IsZero() && now.Sub(c.messageStart) > s.timeouts.RequestRead.Duration()
+		idle := c.idleLocked() && now.Sub(c.lastUsed) > s.timeouts.DownstreamIdle.Duration()
+		if c.phase == phaseActive && (incomplete || idle) {
 			c.drainLocked()
 		}
 		c.mu.Unlock()
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -168,3 +169,38 @@
 		t.Errorf("Serve returned %v", err)
 	}
 }
+
+// TestRequestAtReadTimeout guards against dropping a request that arrived in time, but that the
+// reader has read and not yet registered when the time for the client's message has passed: the
+// client's first request after a pause, and the end of a message in two pieces.
+func TestRequestAtReadTimeout(t *testing.T) {
+	message := requestFrame("1")
+	for _, tc := range []struct {
+		name   string
+		pieces [][]byte
+	}{
+		{"first request of a connection", [][]byte{message}},
+		{"end of a message in two pieces", [][]byte{message[:len(message)/2], message[len(message)/2:]}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			srv := startServer(t, 8, 64, 10*time.Second, func(m *policy.Timeouts) { m.RequestRead = policy.Second / 5 })
+			clientEnd, serverEnd := connectedPair(t)
+			paused := pausingConn{serverEnd.(*net.TCPConn), make(chan struct{}, 16), make(chan struct{})}
+			srv.start(newConn(srv.Server, srv.testHandler, paused))
+			client := testClient{clientEnd, bufio.NewReader(clientEnd)}
+			for i, piece := range tc.pieces {
+				if i > 0 {
+					paused.resume <- struct{}{}
+				}
+				client.send(t, piece)
+				receive(t, paused.read)
+			}
+			time.Sleep(2 * srv.timeouts.RequestRead.Duration())
+			close(paused.resume)
+			srv.nextConn(t, 1).Fail(1)
+			if got := client.answer(t); got != "1 500  " {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+}
