Send nothing for a client whose end waits unread in the socket

Callers saw: a client that had left had its request sent to a cache 284 ms later (a tenth of a second is allowed).

Change: just before an attempt is written, after a failed attempt and before a request is routed again, the director looks into the client's socket itself (IsWaiting); if it holds the end of the stream, the connection is closed there and then. It costs one system call an attempt. A departure behind input that has not been read yet is still noticed by the reader alone.

TestNothingWrittenForLeftClients has the case, for a first attempt and a retry, and failed before: the endpoint got the request of the client that had left.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -72,7 +72,7 @@
 	maxAge := s.router.timeouts.MaxDecisionAge
 	return func() bool {
 		now := time.Now()
-		return !conn.IsPending(tag) || bounded && !now.Before(notAfter) ||
+		return !conn.IsWaiting(tag) || bounded && !now.Before(notAfter) ||
 			maxAge > 0 && s.router.purges.Load() != purges && now.Sub(decidedAt) > maxAge.Duration()
 	}
 }
@@ -98,7 +98,7 @@
 	} else {
 		response.Body.Free()
 	}
-	if !req.Done && !req.conn.IsPending(req.tag) {
+	if !req.Done && !req.conn.IsWaiting(req.tag) {
 		s.finish(req)
 	}
 	outcome := policy.Outcome{
--- a/internal/dispatch/blocked_test.go
+++ b/internal/dispatch/blocked_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,11 +14,25 @@
 // cancellation has been read.
 var cancelAndStatus = message("NEVERMIND", "1") + message("STATUS", "2")
 
-// departures lists the ways in which a client stops waiting for its request.
-var departures = []struct {
+// leaveDelay is the time in which a client's end reaches the socket of the server.
+const leaveDelay = 20 * time.Millisecond
+
+// departure is a way in which a client stops waiting for its request.
+type departure struct {
 	name string
 	do   func(h *harness, client net.Conn)
-}{
+}
+
+// closedUnread is a departure that the connection's reader has had no time to notice.
+var closedUnread = departure{"closed, and its reader has not run", func(h *harness, client net.Conn) {
+	h.clientReads.Lock()
+	h.t.Cleanup(h.clientReads.Unlock)
+	closeAll(h.t, client)
+	time.Sleep(leaveDelay)
+}}
+
+// departures lists the ways in which a client stops waiting for its request.
+var departures = []departure{
 	{"closed", func(h *harness, client net.Conn) {
 		closeAll(h.t, client)
 		h.awaitConnections(1)
@@ -29,9 +44,10 @@
 }
 
 // TestNothingWrittenForLeftClients guards against writing a first attempt or a retry for a client
-// that has left, while the call that reports this waits behind others in the shard's queue.
+// that has left, while the call that reports this waits behind others in the shard's queue, or while
+// the reader that would notice waits for a processor.
 func TestNothingWrittenForLeftClients(t *testing.T) {
-	for _, departure := range departures {
+	for _, departure := range append(slices.Clone(departures), closedUnread) {
 		t.Run("a first attempt, "+departure.name, func(t *testing.T) {
 			h, p := newBlockingHarness(t)
 			client := h.newClient()
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,6 +119,34 @@
 	endpoint      net.Listener
 	endpointConn  net.Conn      // last accepted connection to the endpoint; nil to accept another
 	endpointInput *bufio.Reader // reads from endpointConn
+	clientReads   sync.RWMutex  // while it is locked, the server gets nothing of what clients send
+}
+
+// pausableListener accepts connections that deliver what they read only while pause is not locked.
+type pausableListener struct {
+	net.Listener
+	pause *sync.RWMutex
+}
+
+func (l pausableListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return pausableConn{conn.(*net.TCPConn), l.pause}, nil
+}
+
+// pausableConn is a connection of a pausableListener.
+type pausableConn struct {
+	*net.TCPConn
+	pause *sync.RWMutex
+}
+
+func (c pausableConn) Read(buffer []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(buffer)
+	c.pause.RLock()
+	defer c.pause.RUnlock()
+	return n, err
 }
 
 // sendToE1 decides to send a request to e1, with p1 as its source.
@@ -143,7 +172,7 @@
 	go h.router.Run()
 	h.server = downstream.New([]downstream.Handler{h.router.Shards()[0]}, site, buffers, 8, timeouts)
 	listener := listen(t)
-	go serve(t, h.server, listener)
+	go serve(t, h.server, pausableListener{listener, &h.clientReads})
 	h.updateEndpoint(policy.Ready)
 	h.client = dial(t, listener.Addr())
 	h.clientIn = bufio.NewReader(h.client)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -73,7 +73,7 @@
 // route asks the policy for a request's route and carries out its decision.
 func (s *Shard) route(req *request) {
 	// the client has left, but the call that reports this is still queued
-	if !req.conn.IsPending(req.tag) {
+	if !req.conn.IsWaiting(req.tag) {
 		s.finish(req)
 		return
 	}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tallyproxy/internal/logevent"
+	"tallyproxy/internal/socket"
 )
 
 // Conn is a client connection. Its exported methods may be called from any goroutine and do not
@@ -69,6 +70,19 @@
 	return c.pending[tag]
 }
 
+// IsWaiting is like IsPending, but also looks whether the client has closed the connection and the
+// reader has not got to it yet. If so, it closes the connection. It makes a system call.
+func (c *Conn) IsWaiting(tag uint64) bool {
+	if !c.IsPending(tag) {
+		return false
+	}
+	_, left := socket.PendingInput(c.netConn)
+	if left {
+		c.Close()
+	}
+	return !left
+}
+
 // idleLocked reports whether the connection has no pending requests and no responses left to write.
 // The caller holds c.mu.
 func (c *Conn) idleLocked() bool {
