Pause between accepts where each one fails with a connection's error

After 16 such errors in a row the listener waits between accepts as it does in a shortage, without evicting anybody. The two tests of err in the loop are one; what follows from an error stands in handleAcceptError.

--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -29,26 +29,41 @@
 	s.listeners = append(s.listeners, listener)
 	s.mu.Unlock()
 	go s.sweepLoop(ctx)
+	failures := 0 // of Accept in a row
 	for next := 0; ; next++ {
 		netConn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		s.lastAccept.Store(time.Since(s.startedAt).Nanoseconds())
-		if err != nil && isConnectionError(err) {
-			continue
-		}
-		if err != nil { // out of file descriptors or memory
-			slog.Warn(logevent.AcceptFailed, "err", err)
-			s.evictIdle(1)
-			time.Sleep(s.timeouts.PollRetry.Duration())
+		if err != nil {
+			failures++
+			s.handleAcceptError(err, failures)
 			continue
 		}
+		failures = 0
 		s.waitForSlot()
 		s.start(newConn(s, s.handlers[next%len(s.handlers)], netConn))
 	}
 }
 
+// maxConnectionErrors is the number of connection errors in a row after which they count as lasting.
+const maxConnectionErrors = 16
+
+// handleAcceptError waits until it makes sense to accept again after the given number of failures in
+// a row. If file descriptors or memory have run out, it evicts an idle connection.
+func (s *Server) handleAcceptError(err error, failures int) {
+	lasting := failures > maxConnectionErrors
+	if isConnectionError(err) && !lasting {
+		return
+	}
+	slog.Warn(logevent.AcceptFailed, "err", err)
+	if !isConnectionError(err) {
+		s.evictIdle(1)
+	}
+	time.Sleep(s.timeouts.PollRetry.Duration())
+}
+
 // connectionErrors are errors that accept returns for the connection that it would have returned:
 // the client has left, or the network between has failed.
 var connectionErrors = []error{
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -85,6 +86,45 @@
 	}
 }
 
+// lastingErrorListener is a listener on which no connection can be accepted.
+type lastingErrorListener struct {
+	net.Listener
+	err    error
+	calls  atomic.Int64
+	closed atomic.Bool
+}
+
+func (l *lastingErrorListener) Accept() (net.Conn, error) {
+	l.calls.Add(1)
+	if l.closed.Load() {
+		return nil, net.ErrClosed
+	}
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", l.err)}
+}
+
+// TestLastingAcceptError guards against a listener that spins where every accept fails at once, as
+// it does under a firewall rule (EPERM).
+func TestLastingAcceptError(t *testing.T) {
+	const pause, span = 20 * time.Millisecond, 200 * time.Millisecond
+	for _, err := range []error{syscall.EPERM, syscall.EMFILE} {
+		t.Run(err.Error(), func(t *testing.T) {
+			failing := &lastingErrorListener{Listener: listen(t), err: err}
+			defer closeListener(t, failing.Listener)
+			s := New([]Handler{testHandler{}}, site, bufpool.New(1), 4, policy.Timeouts{PollRetry: policy.MicrosOf(pause), RequestRead: policy.Second})
+			done := make(chan error, 1)
+			go func() { done <- s.Serve(failing) }()
+			time.Sleep(span)
+			if calls := failing.calls.Load(); calls > maxConnectionErrors+int64(span/pause)+1 {
+				t.Errorf("accept was called %d times in %v", calls, span)
+			}
+			failing.closed.Store(true)
+			if err := receive(t, done); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("Serve returned %v", err)
+			}
+		})
+	}
+}
+
 // failingListener is a listener that fails once with an error, after it has accepted the given
 // number of connections.
 type failingListener struct {
