--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -73,13 +73,21 @@
 			e.Weight = 1
 		}
 	}
+	if complete {
+		r.endDroppedSlowStarts(now, known)
+	}
+	r.rebuildTiers()
+	r.reportSlowStarts(now)
+}
+
+// endDroppedSlowStarts reports the end of the slow starts of known endpoints that a complete list has
+// dropped.
+func (r *Router) endDroppedSlowStarts(now policy.Micros, known map[string]*endpoint) {
 	for _, id := range slices.Sorted(maps.Keys(known)) {
 		if r.endpoints[id] == nil {
 			r.endSlowStart(now, known[id])
 		}
 	}
-	r.rebuildTiers()
-	r.reportSlowStarts(now)
 }
 
 // newEndpoint returns an endpoint for a list entry, without any observations.
