Let the time of fills bound the assumed transfer time of cold nodes' budgets

A fill takes no less time than the transfer it ends with. So the mean time of fills takes the place of the objective in the estimate, with the objective as two measurements beside the fills as it was beside the hits; hits count as before, and until the first of them the expected mean is the least.

--- a/routing/cost.go
+++ b/routing/cost.go
@@ -47,12 +47,18 @@
 
 // slowStartWork returns the work, in microseconds, that an attempt of a content type counts for in
 // the budget of an endpoint in slow start: the type's mean transfer time. As long as few were
-// observed, this tends to the latency objective, because a mean that is too low lets too many
-// attempts through, in every director at once.
+// observed, this tends to the mean time of fills, which is no shorter, and if there were few of those
+// as well, to the latency objective. A mean that is too low lets too many attempts through, in every
+// director at once.
 func (r *Router) slowStartWork(contentType *policy.ContentType) float64 {
-	mean := r.transferTimes[contentType]
-	assumed := max(float64(contentType.LatencyObjective), mean.value)
-	return (mean.value*mean.count + assumed*assumedSamples) / (mean.count + assumedSamples)
+	assumed := r.fillTimes[contentType].cautious(float64(contentType.LatencyObjective))
+	return r.transferTimes[contentType].cautious(assumed)
+}
+
+// cautious returns the mean if some values of the assumed size, or of the mean if that is larger,
+// are added to those observed.
+func (m *runningMean) cautious(assumed float64) float64 {
+	return (m.value*m.count + max(assumed, m.value)*assumedSamples) / (m.count + assumedSamples)
 }
 
 // latencyObjective returns the time within which an answer has its full priority weight.
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -75,7 +75,11 @@
 	}
 	// No fill delayed the answer. Uncacheable content is never a hit.
 	withoutFill := status == policy.Hit || request.Type.Uncacheable
-	if request.SizeKB == 0 && a.lightlyLoaded && withoutFill {
+	switch {
+	case request.SizeKB != 0:
+	case !withoutFill:
+		r.fillTimes[request.Type].add(float64(now - a.sentAt))
+	case a.lightlyLoaded:
 		r.transferTimes[request.Type].add(float64(now - a.sentAt))
 	}
 	switch status {
--- a/routing/router.go
+++ b/routing/router.go
@@ -38,7 +38,10 @@
 	// sizes if they are known and otherwise measured on answers of lightly loaded endpoints that
 	// no fill delayed.
 	transferTimes map[*policy.ContentType]*runningMean
-	averageCost   runningMean // mean cost of requests, see cost
+	// fillTimes holds the mean times of answers that a fill delayed, in microseconds by content type.
+	// They are no shorter than the transfers.
+	fillTimes   map[*policy.ContentType]*runningMean
+	averageCost runningMean // mean cost of requests, see cost
 
 	endpoints map[string]*endpoint // all endpoints of the list, by ID
 	edges     tier                 // the zone's ready edge caches
@@ -95,6 +98,7 @@
 	r := &Router{
 		settings:      settings,
 		transferTimes: map[*policy.ContentType]*runningMean{},
+		fillTimes:     map[*policy.ContentType]*runningMean{},
 		endpoints:     map[string]*endpoint{},
 		purges:        map[purgeKey]policy.Micros{},
 		missRatio:     initialMissRatio,
@@ -105,6 +109,7 @@
 	r.linkShare = settings.FillLinkKBPerSecond / max(settings.TransferKBPerSecond, 1) / float64(max(1, settings.ZoneDirectors))
 	r.initFillLimits()
 	for _, contentType := range settings.ContentTypes {
+		r.fillTimes[contentType] = &runningMean{}
 		r.transferTimes[contentType] = &runningMean{value: float64(contentType.LatencyObjective) / (1 + contentType.TransferFactor)}
 	}
 	return r
