--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -19,6 +19,17 @@
 // endpoint's budget, so that the parent is not overloaded even if every attempt reaches it.
 const minFillShare = 3 * slowStartBudgetShare / 2
 
+// slowStartCounts is what the router counts of an endpoint, for its slow start. Work sent in the
+// half window in which a slow start begins counts, because the start may have been noticed late.
+type slowStartCounts struct {
+	active     bool          // the beginning was reported and the end was not
+	halfWindow policy.Micros // number of the current half of the overload window
+	halfWork   float64       // work sent in that half
+	peakWork   float64       // largest work sent in a half
+	sent       int           // attempts sent
+	deferred   int           // attempts that the budget did not admit
+}
+
 // slowStartShare returns the minimum share of its capacity that an endpoint has at present.
 func slowStartShare(now policy.Micros, e *endpoint, s policy.SlowStart) float64 {
 	age := now - e.startedAt
@@ -41,6 +52,47 @@
 	return e.slowStart.halfWork+work <= r.slowStartBudget(now, t, e)+work*draw
 }
 
+// countSlowStart counts an attempt that is sent to an endpoint or filled through it.
+func (r *Router) countSlowStart(now policy.Micros, e *endpoint, work float64) {
+	if e.slowStart.active {
+		r.updateSlowStart(now, r.tierOf(e), e)
+	}
+	e.slowStart.sent++
+	e.slowStart.halfWork += work
+}
+
+// returnSourceWork takes an attempt that did not reach its source out of the source's budget, in the
+// half window in which it was sent.
+func (a *attempt) returnSourceWork() {
+	if counts := &a.source.slowStart; a.source != a.endpoint && counts.halfWindow == a.sourceHalfWindow {
+		counts.halfWork = max(0, counts.halfWork-a.work)
+	}
+}
+
+// tierOf returns the tier of an endpoint of the zone or of a parent.
+func (r *Router) tierOf(e *endpoint) *tier {
+	if e.Kind == r.settings.ParentKind {
+		return &r.parents
+	}
+	return &r.edges
+}
+
+// deferAttempt counts an attempt that the budget of an endpoint did not admit.
+func (r *Router) deferAttempt(now policy.Micros, t *tier, e *endpoint) {
+	if e.slowStart.deferred++; e.slowStart.deferred == 1 {
+		r.reportSlowStart(now, t, e, SlowStartLimited)
+	}
+}
+
+// beginHalfWindow starts a new half of the overload window for an endpoint in slow start.
+func (r *Router) beginHalfWindow(now policy.Micros, t *tier, e *endpoint, number policy.Micros) {
+	if e.slowStart.halfWork > 0 {
+		r.reportSlowStart(now, t, e, SlowStartHalfWindow)
+	}
+	e.slowStart.peakWork = max(e.slowStart.peakWork, e.slowStart.halfWork)
+	e.slowStart.halfWindow, e.slowStart.halfWork = number, 0
+}
+
 // slowStartBudget returns the work that this director may send to an endpoint in slow start in half
 // an overload window, in microseconds of transfer time at the full rate.
 func (r *Router) slowStartBudget(now policy.Micros, t *tier, e *endpoint) float64 {
