Record how long nodes are told to work, and judge it in a crowd; it is known red

The operators' term: the deadline passed to a server is at most what the client has left, with 0.15 s of slack. Clients of the fakes record when their requests' time ends, counted from the last byte written, and nodes record until when they were told to work, by the kernel's time stamps.

The director counts a request's time from when it reads it; a request that waits in the accept queue, or unread behind a crowd, is older. TestSoak does not judge it, so that its other checks stay binding.

--- a/internal/fakes/cluster.go
+++ b/internal/fakes/cluster.go
@@ -38,6 +38,8 @@
 	effects          map[string]effect        // by idempotency key
 	purgedAt         map[string]time.Duration // by purge key
 	abandonedAt      map[string]time.Duration // by request ID; maxAbandoned at most
+	clientDeadlines  map[string]time.Duration // by request ID; maxDeadlines at most
+	attemptDeadlines []attemptDeadline        // maxDeadlines at most
 	lateEvents       []string                 // of violations.SentAfterLeave; maxLateEvents at most
 	violations       Violations
 	instantEffects   instantEffects
@@ -48,6 +50,7 @@
 	DrainedUses        int // requests or fills at a node later than drainDeadline after its drain
 	ConcurrentAttempts int // attempts of one request in flight at two nodes
 	SentAfterLeave     int // attempts that arrived over abandonedLimit after the client left
+	ExceededDeadlines  int // attempts told more time than their clients had left and deadlineSlack
 	RepeatedEffects    int // keys whose request took effect twice
 	OverloadedNodes    int // nodes that failed under overload
 }
@@ -70,6 +73,7 @@
 		effects:          map[string]effect{},
 		purgedAt:         map[string]time.Duration{},
 		abandonedAt:      map[string]time.Duration{},
+		clientDeadlines:  map[string]time.Duration{},
 	}
 	linkCapacity := func(time.Duration) float64 { return spec.LinkCapacity }
 	for range max(1, spec.Zones) {
@@ -157,6 +161,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	violations := c.violations
+	violations.ExceededDeadlines = len(c.exceededDeadlines())
 	for _, n := range c.Nodes {
 		if n.overloaded {
 			violations.OverloadedNodes++
--- a/internal/fakes/request.go
+++ b/internal/fakes/request.go
@@ -37,6 +37,7 @@
 	n, c := r.node, r.node.cluster
 	r.record()
 	c.checkAbandoned(r)
+	c.recordAttemptDeadline(r)
 	c.recordKeyEvent(r.fields["op"], "attempt %s at %s, source %s, patience %s ms, sent by %v, arrived %v earlier", r.id, n.Name, r.fields["from"],
 		r.fields["patience"], r.connection.conn.RemoteAddr(), c.now()-r.arrivedAt)
 	source := c.nodeByName(r.fields["from"])
--- a/internal/fakes/session.go
+++ b/internal/fakes/session.go
@@ -90,6 +90,7 @@
 	s.mu.Lock()
 	r.sentAt = s.client.Cluster.Now()
 	s.mu.Unlock()
+	s.client.Cluster.recordClientDeadline(r.id, r.sentAt+r.timeout)
 	s.client.Cluster.recordClientKeyEvent(r.key, "request %s sent to %s, repeat %v, timeout %v", r.id, s.target.Addr, r.isRepeat, r.timeout)
 	time.AfterFunc(receivedAfter, func() {
 		if isEstablished(s.conn) {
--- a/internal/fakes/violations_test.go
+++ b/internal/fakes/violations_test.go
@@ -52,6 +52,12 @@
 			director.request(t, "late", thumb(1))
 			director.answer(t)
 		}, func(b Violations) int { return b.SentAfterLeave }, false, 0},
+		{"an attempt told more time than its client has left", false, func(t *testing.T, c *Cluster) {
+			c.recordClientDeadline("a", c.Now()+100*time.Millisecond)
+			director := dial(t, c.Node("box-0"))
+			director.request(t, "a", thumb(1)+",patience=300")
+			director.answer(t)
+		}, func(b Violations) int { return b.ExceededDeadlines }, false, 0},
 		{"a request with a key run twice", false, func(t *testing.T, c *Cluster) {
 			c.ContentTypes[2].DedupWindow = 50 * time.Millisecond
 			director := dial(t, c.Node("box-0"))
--- a/internal/faulttest/outcome.go
+++ b/internal/faulttest/outcome.go
@@ -95,10 +95,13 @@
 	LateAnswers int `json:"-"`
 	// Attempts that began more than 0.1 s after their client had left.
 	SentAfterLeave int `json:"-"`
+	// Attempts that were told to take longer than their client waits and 0.15 s. Violations does not
+	// list them; TestDeadlinesInACrowd judges them.
+	ExceededDeadlines int `json:"-"`
 	// Connections refused by a director that was obliged to accept them.
 	EarlyRefusals int `json:"-"`
-	// Events of the keys that RepeatedEffects counts, and of the attempts that SentAfterLeave
-	// counts.
+	// Events of the keys that RepeatedEffects counts, and of the attempts that SentAfterLeave and
+	// ExceededDeadlines count.
 	ViolationEvents []string `json:"-"`
 	// Requests that crossed the end of an idle connection, which is no violation.
 	CrossedEnds int `json:"-"`
@@ -192,6 +195,8 @@
 	o.RepeatedEffects, o.OverloadedNodes = violations.RepeatedEffects, violations.OverloadedNodes
 	o.DrainViolations, o.ConcurrentAttempts = violations.DrainedUses, violations.ConcurrentAttempts
 	o.SentAfterLeave, o.ViolationEvents = violations.SentAfterLeave, append(cluster.RepeatedEffectEvents(), cluster.SentAfterLeaveEvents()...)
+	o.ExceededDeadlines = violations.ExceededDeadlines
+	o.ViolationEvents = append(o.ViolationEvents, cluster.ExceededDeadlineEvents()...)
 	for _, n := range cluster.Nodes {
 		if peak, _ := n.PeakLoad(); n.Kind != fakes.Origin {
 			o.ColdPeakLoad = max(o.ColdPeakLoad, roundTo(peak, 1000))
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// TestDeadlinesInACrowd guards against nodes that are told to work on a request for longer than its
+// client waits and 0.15 s (the operators' terms), where a crowd keeps requests waiting unread.
+func TestDeadlinesInACrowd(t *testing.T) {
+	const crowdSeed = 11
+	parallel(t)
+	schedule := soakSchedule(crowdSeed)
+	o, err := Run(t.Context(), soakSpec(testSpec(t).Argv, schedule), schedule, func(h *Harness) { h.startSoakClients() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.ExceededDeadlines > 0 {
+		t.Errorf("%s\n%d of the attempts of %d requests", strings.Join(o.ViolationEvents, "\n"), o.ExceededDeadlines, o.Requests)
+	}
+}
+
 // descriptorLeaks waits until directors without clients are idle, and returns a message for each
 // director that then holds more descriptors than at its start.
 func (h *Harness) descriptorLeaks() (leaks []string) {
