--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -70,6 +70,9 @@
 	if status != policy.Unknown {
 		observeShare(&r.missRatio, status > policy.Hit && status != policy.Stale)
 	}
+	if status == policy.Hit && request.Type.TTL == 0 { // otherwise the copy may have been refreshed
+		a.returnSourceWork()
+	}
 	// No fill delayed the answer. Uncacheable content is never a hit.
 	withoutFill := status == policy.Hit || request.Type.Uncacheable
 	if request.SizeKB == 0 && a.lightlyLoaded && withoutFill {
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -151,7 +151,7 @@
 func (p *placement) chooseParent(decision *policy.Decision) bool {
 	r, a, state := p.router, p.attempt, p.state
 	if !a.countedAsFill && slowStartShare(p.now, a.endpoint, r.settings.EdgeSlowStart) >= 1 {
-		p.work *= r.missRatio // a hit does not reach the parent
+		p.work *= max(r.missRatio, minFillShare) // a hit does not reach the parent
 	}
 	a.source = r.pick(p.now, &r.parents, state.objectHash, p.work, func(e *endpoint) bool { return !state.wasSource(e) })
 	if a.source != nil {
@@ -176,6 +176,7 @@
 		}
 		r.countSlowStart(p.now, e, p.work)
 	}
+	a.work, a.sourceHalfWindow = p.work, a.source.slowStart.halfWindow
 	r.fillLimiter.inFlight += boolean.Int(a.countedAsFill)
 	r.originLimiter.inFlight += boolean.Int(a.mayReachOrigin)
 	state.fullAttempts += boolean.Int(!a.cacheOnly && !a.sourceCacheOnly)
--- a/routing/request.go
+++ b/routing/request.go
@@ -30,18 +30,21 @@
 
 // attempt is one attempt of a request.
 type attempt struct {
-	endpoint        *endpoint // where it is sent
-	source          *endpoint // where a miss is filled from; equal to endpoint for no fill
-	sentAt          policy.Micros
-	objective       policy.Micros // latency objective
-	transferTime    float64       // at the full rate, in microseconds
-	lightlyLoaded   bool          // the endpoint was below half of its concurrency limit
-	cacheOnly       bool          // asks only for what the endpoint holds
-	sourceCacheOnly bool          // may be filled only from what the source holds
-	countedAsFill   bool          // counted by the fill limiter
-	mayReachOrigin  bool          // counted by the origin limiter
-	direct          bool          // sent directly to a parent
-	countedLate     bool          // already counted as a late fill
+	endpoint     *endpoint // where it is sent
+	source       *endpoint // where a miss is filled from; equal to endpoint for no fill
+	sentAt       policy.Micros
+	objective    policy.Micros // latency objective
+	transferTime float64       // at the full rate, in microseconds
+	work         float64       // counted in the slow-start budgets of endpoint and source
+	// sourceHalfWindow is the half of the source's overload window in which work was counted.
+	sourceHalfWindow policy.Micros
+	lightlyLoaded    bool // the endpoint was below half of its concurrency limit
+	cacheOnly        bool // asks only for what the endpoint holds
+	sourceCacheOnly  bool // may be filled only from what the source holds
+	countedAsFill    bool // counted by the fill limiter
+	mayReachOrigin   bool // counted by the origin limiter
+	direct           bool // sent directly to a parent
+	countedLate      bool // already counted as a late fill
 	// excused is set if the attempt does not count against the endpoint: the source failed, the
 	// endpoint has answered other attempts since, the connection to the endpoint was lost for the
 	// first time, or the attempt was withdrawn.
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -14,6 +14,11 @@
 // link, of which the settings say nothing.
 const minColdMissRatio = initialMissRatio
 
+// minFillShare is the lowest share of the attempts through a cold parent that are assumed to reach
+// it. It is what three halves of an overload window, which one window may meet, may use of an
+// endpoint's budget, so that the parent is not overloaded even if every attempt reaches it.
+const minFillShare = 3 * slowStartBudgetShare / 2
+
 // slowStartShare returns the minimum share of its capacity that an endpoint has at present.
 func slowStartShare(now policy.Micros, e *endpoint, s policy.SlowStart) float64 {
 	age := now - e.startedAt
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -158,3 +158,39 @@
 		}
 	}
 }
+
+// TestHitsReturnParentBudget guards against a cold parent that gets almost nothing because hits at
+// edge caches use up its budget, and against one that gets refreshes beyond its budget.
+func TestHitsReturnParentBudget(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		ttl    policy.Micros
+		status policy.CacheStatus
+		counts bool // the attempts stay counted
+	}{
+		{"hits", 0, policy.Hit, false},
+		{"fills", 0, policy.Filled, true},
+		{"hits that may refresh the copy", policy.Second, policy.Hit, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestRouter(settings(), 3, 1)
+			r.contentType.TTL = c.ttl
+			r.updateEndpoints(policy.Endpoint{ID: "p0", Kind: 1, Started: r.now})
+			sent := 0
+			for i := range 40 {
+				request, decision := r.route(fmt.Sprint(i))
+				if decision.Action != policy.Send || decision.Source.ID != "p0" {
+					continue
+				}
+				sent++
+				if r.endpoints["p0"].slowStart.halfWork == 0 {
+					t.Fatal("an attempt in flight is not counted")
+				}
+				r.finish(request, ms, policy.Succeeded, c.status)
+			}
+			if work := r.endpoints["p0"].slowStart.halfWork; sent == 0 || work > 0 != c.counts {
+				t.Errorf("%d attempts leave %.0f µs of work counted", sent, work)
+			}
+		})
+	}
+}
--- a/routing/slowstartreport.go
+++ b/routing/slowstartreport.go
@@ -105,6 +105,14 @@
 	e.slowStart.halfWork += work
 }
 
+// returnSourceWork takes an attempt that did not reach its source out of the source's budget, in the
+// half window in which it was sent.
+func (a *attempt) returnSourceWork() {
+	if counts := &a.source.slowStart; a.source != a.endpoint && counts.halfWindow == a.sourceHalfWindow {
+		counts.halfWork = max(0, counts.halfWork-a.work)
+	}
+}
+
 // tierOf returns the tier of an endpoint of the zone or of a parent.
 func (r *Router) tierOf(e *endpoint) *tier {
 	if e.Kind == r.settings.ParentKind {
