--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin/review
-CGO_ENABLED=1 go build -o bin/review/ ./review/standin ./review/client ./review/fleetview
+CGO_ENABLED=1 go build -o bin/review/ ./review/standin ./review/client ./review/fleetview ./review/pause
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,11 +1,11 @@
-# What the scripts of this folder share: a fleet of three directors with an agent each, as in
-# docs/tallyctl.md, "Setting it up from nothing". A script sets "here" to its folder and sources
-# this file. Everything runs on loopback addresses and in a temporary folder.
+# What the scripts of this folder share: the record, the end, and a fleet of three directors with an
+# agent each, as in docs/tallyctl.md, "Setting it up from nothing". A script sets "here" to its folder
+# and sources this file. Everything runs on loopback addresses and in a temporary folder.
 
 trouble=${TROUBLE:-1}
 root=$(cd "$here/../.." && pwd)
 bin=$root/bin
-for program in tallyproxy tallyctl review/standin review/client review/fleetview; do
+for program in tallyproxy tallyctl review/standin review/client review/fleetview review/pause; do
 	if [ ! -x "$bin/$program" ]; then
 		echo "bin/$program is missing: run the build of the deploy file and review/build.sh" >&2
 		exit 2
@@ -125,7 +125,7 @@
 	for id in $(directors); do kill -TERM "$id" 2>/dev/null; done
 	await no_director
 	for id in $(directors); do kill -KILL "$id" 2>/dev/null; done
-	for id in $started; do kill -TERM "$id" 2>/dev/null; done
+	for id in $started; do kill -CONT "$id" 2>/dev/null && kill -TERM "$id" 2>/dev/null; done
 	wait 2>/dev/null
 	rm -rf "$dir"
 	exit "$1"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,8 +31,6 @@
 	// meanTransfer is long enough for some requests to be open at any time.
 	meanTransfer = 150 * time.Millisecond
 
-	pollInterval = 20 * time.Millisecond
-
 	hosts = 250 // numbers that each part of a host's address may have
 
 	clockFormat = "15:04:05.000000"
@@ -82,39 +80,8 @@
 	if err := os.WriteFile(filepath.Join(dir, "ready"), nil, 0o600); err != nil {
 		return err
 	}
-	return serve(ctx, dir, cluster, runs)
-}
-
-// serve waits until ctx ends. Once the file "drain" is there, it announces that the nodes that the
-// file names are draining; they stay up.
-func serve(ctx context.Context, dir string, cluster *fakes.Cluster, runs io.Writer) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for path := filepath.Join(dir, "drain"); ; {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		names, err := os.ReadFile(path)
-		if errors.Is(err, os.ErrNotExist) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		for name := range strings.FieldsSeq(string(names)) {
-			node := cluster.Node(name)
-			if node == nil {
-				return fmt.Errorf("there is no node %q", name)
-			}
-			node.Announce("draining")
-			_, _ = fmt.Fprintf(runs, "%s announced: %s is draining\n", time.Now().UTC().Format(clockFormat), name)
-		}
-		if err := os.Remove(path); err != nil {
-			return err
-		}
-	}
+	<-ctx.Done()
+	return nil
 }
 
 // newSpec returns a warm deployment with three cache nodes that records what its nodes run.
