--- a/review/client/main.go
+++ b/review/client/main.go
@@ -1,6 +1,6 @@
 // Command client plays usual clients of one director: each connection has one request open at a
-// time. It writes what was sent and answered to standard output until it is told to end, and then
-// one line with the totals.
+// time, and stays away after a refusal for as long as it is told. It writes what was sent and answered
+// to standard output until it is told to end, and then one line with the totals.
 //
 // A request counts as lost only where the pages leave no excuse: its connection ended at least 50 ms
 // after its last byte was written and was not new, or no answer came until half a second after its
@@ -109,6 +109,7 @@
 		t.record(func() { t.lost++ }, "connection=%d txn=%s answered under another tag: LOST", number, id)
 	case err == nil:
 		t.record(func() { t.count(answer[1]) }, "connection=%d txn=%s answered %s after %v", number, id, answer[1], waited)
+		stayAway(ctx, answer[1], answer[2])
 		return true
 	case ctx.Err() != nil, !errors.Is(err, os.ErrDeadlineExceeded) && (waited < crossLimit || tag == 1):
 		t.record(func() { t.other++ }, "connection=%d txn=%s ended without an answer after %v: excused (%v)", number, id, waited, err)
@@ -118,6 +119,23 @@
 	return false
 }
 
+// stayAway waits after a refusal for as long as the director says, or else for redialPause.
+func stayAway(ctx context.Context, word, fields string) {
+	if word != "503" {
+		return
+	}
+	pause := redialPause
+	if text, told := strings.CutPrefix(fields, "later="); told {
+		if milliseconds, err := strconv.Atoi(text); err == nil {
+			pause = time.Duration(milliseconds) * time.Millisecond
+		}
+	}
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
 // count counts an answer by its word. The caller holds the lock.
 func (t *totals) count(word string) {
 	switch word {
