--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin/review2
-go build -o bin/review2/ ./review/6 ./review/7 ./review/8 ./review/9
+go build -o bin/review2/ ./review/6 ./review/7 ./review/8 ./review/9 ./review/10
