Stand-ins: an address for each process, and receive buffers like a tablet's

Change: a loopback address of its own for each director and restarted node; 64 KB of receive buffer in case 6.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -69,7 +69,7 @@
 		nodes = append(nodes, node)
 	}
 	channel.PublishNodes("up", nodes...)
-	address, err := stage.FreeAddress("127.0.0.1")
+	address, err := stage.FreeAddress(stage.Host())
 	if err != nil {
 		return fail(err)
 	}
@@ -153,7 +153,7 @@
 // ask asks for the parts of one clip over one connection: all at once or, without the disruption,
 // one after another.
 func ask(record *stage.Record, address string, client int, total *result) error {
-	conn, err := net.DialTimeout("tcp4", address, 2*time.Second)
+	conn, err := stage.DialTablet(address)
 	if err != nil {
 		return err
 	}
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -81,7 +81,7 @@
 		{"box-0", "depot-1", "compact"}, {"box-1", "depot-1", "compact"}, {"box-2", "depot-1", "standard"}, {"box-3", "depot-1", "compact"},
 		{"parent-0", "north", "parent"}, {"parent-1", "south", "parent"}, {"archive", "north", "origin"},
 	} {
-		node, err := stage.NewNode(n.name, "127.0.0.1", n.zone, n.kind, serve)
+		node, err := stage.NewNode(n.name, stage.Host(), n.zone, n.kind, serve)
 		if err != nil {
 			return fail(err)
 		}
@@ -90,7 +90,7 @@
 		}
 	}
 	channel.PublishNodes("up", nodes...)
-	address, err := stage.FreeAddress("127.0.0.1")
+	address, err := stage.FreeAddress(stage.Host())
 	if err != nil {
 		return fail(err)
 	}
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -2,7 +2,8 @@
 # built by build-2.sh, and ends what is left of it.
 
 # play NUMBER runs the driver from the root with a private temporary folder. The driver starts the
-# project's programs and ends them; what it leaves behind, it leaves in its own process group.
+# project's programs and ends them. What it leaves behind, if it is ended itself, is in its own
+# process group or named in the file pids.
 play() {
 	here=$(cd "$(dirname "$0")" && pwd)
 	cd "$here/../.." || exit 2
@@ -19,7 +20,7 @@
 	watchdog=$!
 	disown "$watchdog"
 	set +m
-	trap 'kill -KILL -- "-$watchdog" "-$pid" 2>/dev/null; rm -rf "$dir"' EXIT
+	trap 'kill -KILL -- "-$watchdog" "-$pid" $(cat "$dir/pids" 2>/dev/null) 2>/dev/null; rm -rf "$dir"' EXIT
 	trap 'exit 2' INT TERM
 	wait "$pid"
 	code=$?
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -148,6 +149,20 @@
 	ended   error
 }
 
+// DialTablet connects to a director with a receive buffer as small as that of a tablet, so that the
+// pace of the client, and not the size of this machine's buffers, is what the director sees.
+func DialTablet(address string) (net.Conn, error) {
+	const receiveBuffer = 64 << 10 // bytes
+	dialer := net.Dialer{Timeout: 2 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(descriptor uintptr) {
+			failure = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, failure)
+	}}
+	return dialer.Dial("tcp4", address)
+}
+
 // Dial connects to a director.
 func Dial(address string) (*Client, error) {
 	conn, err := net.DialTimeout("tcp4", address, 2*time.Second)
--- a/review/stage/director.go
+++ b/review/stage/director.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -25,6 +26,12 @@
 	exited chan struct{}
 }
 
+// Host returns a loopback address of the case's own. A port there stays free while its process is
+// down, since connections come from other addresses.
+func Host() string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), 1+rand.IntN(254), 1+rand.IntN(254))
+}
+
 // FreeAddress returns a loopback address that nobody uses.
 func FreeAddress(host string) (string, error) {
 	listener, err := net.Listen("tcp4", host+":0")
@@ -103,7 +110,8 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("director %s does not serve", d.Name)
+	text, _ := os.ReadFile(d.log.Name())
+	return fmt.Errorf("director %s does not serve: %s", d.Name, text)
 }
 
 // Pid returns the process ID.
