--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,9 +1,12 @@
-// Command 9 plays a case of the second review: a cache box drains while the command channel is slow.
+// Command 9 plays a case of the second review: directors that know each other come back while
+// discovery is down, and are asked by clients with little time left.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -12,10 +15,9 @@
 )
 
 const (
-	latency = 2200 * time.Millisecond // of each answer of the slow channel
-	told    = 7 * time.Second         // after an event it counts as told, whether it arrived or not
-	grace   = 1050 * time.Millisecond // to stop sending: 1 s, and 50 ms on sockets
-	watch   = 8 * time.Second         // of sends after that
+	directors = 3
+	killed    = 2                      // at once, of the three
+	lateness  = 500 * time.Millisecond // after its time a request without an answer is lost
 )
 
 func main() { os.Exit(play()) }
@@ -32,32 +34,17 @@
 		record.Say("could not run: %v", err)
 		return stage.NoRun
 	}
-	channel, err := stage.NewChannel(record, "127.0.0.1")
+	channel, err := stage.NewChannel(record, stage.Host())
 	if err != nil {
 		return fail(err)
 	}
 	defer channel.Close()
-
-	var mu sync.Mutex
-	var drainedAt time.Time
-	sends, late := 0, 0
 	serve := func(w stage.Want) {
-		mu.Lock()
-		sends++
-		if w.Conn.Node.Name == "box-0" && !drainedAt.IsZero() {
-			after := w.FirstByte.Sub(drainedAt)
-			isLate := after > told+grace
-			if isLate {
-				late++
-			}
-			record.Add("box-0 gets %s %s, %.3f s after its drain was told, late=%v", w.ID, w.Fields["asset"], after.Seconds(), isLate)
-		}
-		mu.Unlock()
 		w.AnswerBody("data", fmt.Sprintf("n=local,ver=%s,born=%d", stage.Hex(16), stage.UnixMillis(time.Now())), []byte(w.Fields["asset"]))
 	}
 	var nodes []*stage.Node
 	for _, n := range []struct{ name, zone, kind string }{
-		{"box-0", "depot-1", "compact"}, {"box-1", "depot-1", "compact"}, {"box-2", "depot-1", "compact"},
+		{"box-0", "depot-1", "compact"}, {"box-1", "depot-1", "compact"}, {"box-2", "depot-1", "standard"}, {"box-3", "depot-1", "compact"},
 		{"parent-0", "north", "parent"}, {"parent-1", "south", "parent"}, {"archive", "north", "origin"},
 	} {
 		node, err := stage.NewNode(n.name, "127.0.0.1", n.zone, n.kind, serve)
@@ -67,75 +54,141 @@
 		nodes = append(nodes, node)
 	}
 	channel.PublishNodes("up", nodes...)
-
-	address, err := stage.FreeAddress("127.0.0.1")
-	if err != nil {
+	settings := stage.Settings(directors)
+	settings["limits"].(stage.Map)["peers"] = true
+	key := filepath.Join(dir, "peers.key")
+	if err := os.WriteFile(key, []byte(stage.Hex(64)+"\n"), 0o600); err != nil {
 		return fail(err)
 	}
-	director, err := stage.NewDirector(record, dir, "n0", address)
-	if err != nil {
-		return fail(err)
+	var group []*stage.Director
+	var talk []string
+	for range directors {
+		address, err := stage.FreePair(stage.Host())
+		if err != nil {
+			return fail(err)
+		}
+		talk = append(talk, address)
+	}
+	start := func(i int) error {
+		script := fmt.Sprintf("peers(listen = %q, seeds = [%q, %q], key = %q, fleet = \"depots\")\n",
+			talk[i], talk[(i+1)%directors], talk[(i+2)%directors], key)
+		file := filepath.Join(dir, fmt.Sprintf("n%d.star", i))
+		if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
+			return err
+		}
+		limits := stage.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+		d := group[i]
+		return d.Start(stage.Config(d.Name, d.Address, channel.Address, channel.Known(), settings, limits), "--settings "+file)
 	}
-	defer director.Kill()
-	limits := stage.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
-	if err := director.Start(stage.Config("n0", address, channel.Address, channel.Known(), stage.Settings(1), limits), ""); err != nil {
-		return fail(err)
+	for i := range directors {
+		address, err := stage.FreeAddress(stage.Host())
+		if err != nil {
+			return fail(err)
+		}
+		d, err := stage.NewDirector(record, dir, fmt.Sprintf("n%d", i), address)
+		if err != nil {
+			return fail(err)
+		}
+		defer d.Kill()
+		group = append(group, d)
+		if err := start(i); err != nil {
+			return fail(err)
+		}
 	}
-	client, err := stage.Dial(address)
-	if err != nil {
-		return fail(err)
+	time.Sleep(3 * time.Second)
+
+	if stage.Disturbed() {
+		record.Say("discovery is down")
+		if err := channel.Down(); err != nil {
+			return fail(err)
+		}
 	}
-	defer client.Close()
-	items := make([]string, 64)
-	for i := range items {
-		items[i] = stage.Hex(16)
+	time.Sleep(4 * time.Second)
+	for i := range killed {
+		group[i].Signal(syscall.SIGKILL)
 	}
-	answered := 0
-	ask := func(until time.Duration) error {
-		for i := 0; record.Now() < until; i++ {
-			_, answer, err := client.Send(stage.Ask{Class: "thumbnail", Txn: stage.Hex(16), Limit: 3 * time.Second, Item: items[i%len(items)]})
-			if err != nil {
-				return err
-			}
-			a, ok := <-answer
-			if !ok {
-				return fmt.Errorf("the client's connection ended")
-			}
-			if a.Word == "200" {
-				answered++
-			}
-			time.Sleep(25 * time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	var tally tally
+	var clients sync.WaitGroup
+	for i := range killed {
+		group[i].Kill()
+		if err := start(i); err != nil {
+			return fail(err)
 		}
-		return nil
-	}
-	if err := ask(record.Now() + 3*time.Second); err != nil {
-		return fail(err)
+		clients.Go(func() { tally.ask(record, group[i]) })
 	}
+	clients.Wait()
 	if stage.Disturbed() {
-		record.Say("the channel is slow from now on: each answer takes %v longer", latency)
-		channel.SetLatency(latency)
-	}
-	if err := ask(record.Now() + 2*time.Second); err != nil {
-		return fail(err)
+		time.Sleep(500 * time.Millisecond)
+		if err := channel.Up(); err != nil {
+			return fail(err)
+		}
+		record.Say("discovery is back")
 	}
-	mu.Lock()
-	drainedAt = time.Now()
-	mu.Unlock()
-	channel.PublishNodes("draining", nodes[0])
-	if err := ask(record.Now() + told + grace + watch); err != nil {
-		return fail(err)
+	for _, d := range group {
+		if !d.Running() {
+			return fail(errors.New("a director ended"))
+		}
+		d.Signal(syscall.SIGTERM)
 	}
-	director.Signal(syscall.SIGTERM)
-	mu.Lock()
-	defer mu.Unlock()
-	record.Say("%d attempts, %d answers served; box-0 got %d attempts later than %v after its drain was told", sends, answered, late, told+grace)
-	if answered == 0 {
-		return fail(fmt.Errorf("nothing was served"))
+	record.Say("%d requests: %d answered in time or up to %v late, %d later or never", tally.answered+tally.lost, tally.answered, lateness, tally.lost)
+	if tally.answered+tally.lost == 0 {
+		return fail(errors.New("nothing was asked"))
 	}
-	if late > 0 {
-		record.Say("BROKEN: drains are kept")
+	if tally.lost > 0 {
+		record.Say("BROKEN: no download is lost")
 		return stage.Broken
 	}
 	record.Say("held")
 	return stage.Held
 }
+
+// tally counts what became of requests.
+type tally struct {
+	mu             sync.Mutex
+	answered, lost int
+}
+
+// ask sends clients' retries with 50 to 250 ms left as soon as a director serves.
+func (t *tally) ask(record *stage.Record, d *stage.Director) {
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() {
+			client, err := stage.Dial(d.Address)
+			if err != nil {
+				record.Add("%s can't be reached: %v", d.Name, err)
+				return
+			}
+			defer client.Close()
+			limit := time.Duration(50+20*i) * time.Millisecond
+			ask := stage.Ask{Class: "thumbnail", Txn: stage.Hex(16), Limit: limit, Item: stage.Hex(16), Retry: true}
+			sentAt := time.Now()
+			_, answer, err := client.Send(ask)
+			if err != nil {
+				record.Add("%s: %v", d.Name, err)
+				return
+			}
+			var word string
+			select {
+			case a, ok := <-answer:
+				word = "no answer, its connection ended"
+				if ok {
+					word = a.Word
+				}
+			case <-time.After(5 * time.Second):
+				word = "no answer in 5 s"
+			}
+			took := time.Since(sentAt)
+			lost := took > limit+lateness
+			record.Add("%s: request %s with %v left: %s after %v, lost=%v", d.Name, ask.Txn, limit, word, took.Round(time.Millisecond), lost)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if lost {
+				t.lost++
+			} else {
+				t.answered++
+			}
+		})
+	}
+	group.Wait()
+}
