Downstream: refuse what a slow reader has no room for, keep its connection

Cause: Conn.respond closed the connection when the bytes queued for a client exceeded its share of the buffers, which says nothing of whether the client reads.

Evidence: the log line of the close stands at each loss.

Change: a body beyond the share is refused; the policy is told ResourceExhausted and rejects the request where a new try is harmless, and fails it elsewhere. Requests that come meanwhile are rejected unsent. Answers are written in batches, whose bodies are freed as they are written, so that WriteFlush bounds a batch and not all that is queued. The same cause stood upstream: an answer that found no buffer counted as a connection lost by its node.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -92,9 +92,7 @@
 	defer recoverPanic(req)
 	defer s.releaseID(req)
 	if !req.Done && result == policy.Succeeded {
-		s.router.succeeded.Add(1)
-		req.conn.Succeed(req.tag, response.Body, response.Status == upstream.StatusUnchanged)
-		s.finish(req)
+		result = s.succeed(req, response)
 	} else {
 		response.Body.Free()
 	}
@@ -109,6 +107,17 @@
 	}))
 }
 
+// succeed answers the client with a response and finishes the request. It returns ResourceExhausted
+// and leaves the request open if the client has too many responses left to read.
+func (s *Shard) succeed(req *request, response upstream.Response) policy.Result {
+	if !req.conn.Succeed(req.tag, response.Body, response.Status == upstream.StatusUnchanged) {
+		return policy.ResourceExhausted
+	}
+	s.router.succeeded.Add(1)
+	s.finish(req)
+	return policy.Succeeded
+}
+
 // results maps the status of an endpoint's response to the result of the attempt.
 var results = map[upstream.Status]policy.Result{
 	upstream.StatusData: policy.Succeeded, upstream.StatusUnchanged: policy.Succeeded, upstream.StatusAbsent: policy.CacheMiss,
@@ -145,6 +154,8 @@
 		return policy.Cancelled
 	case !written:
 		return policy.ConnectFailed
+	case errors.Is(err, upstream.ErrNoBuffer):
+		return policy.ResourceExhausted
 	default:
 		return policy.ConnectionLost
 	}
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"net"
+	"strconv"
+	"strings"
 	"testing"
 
 	"tallyproxy/internal/upstream"
@@ -35,6 +39,7 @@
 		{"cancelled, partly written", "", fail(upstream.PartlyWritten, true), policy.NotSent},
 		{"cancelled, wholly written", "", fail(upstream.FullyWritten, true), policy.Cancelled},
 		{"cancelled, response started", "", fail(upstream.ResponseStarted, true), policy.Cancelled},
+		{"no buffer for the body", "", &upstream.Error{Stage: upstream.ResponseStarted, Err: upstream.ErrNoBuffer}, policy.ResourceExhausted},
 		{"another error", "", errors.New("x"), policy.ConnectionLost},
 	}
 	for _, c := range cases {
@@ -56,3 +61,67 @@
 		}
 	}
 }
+
+// TestAnswerForSlowReader guards against losing a request, or leaving it without an answer, when the
+// endpoint's answer finds its client with too much left to read: the policy must decide how it ends.
+func TestAnswerForSlowReader(t *testing.T) {
+	const bodyBytes, open = 240_000, 32
+	h, p := newBlockingHarness(t)
+	if err := h.client.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	go answerAll(h.endpoint, release, bodyBytes)
+	for n := range open {
+		h.request(strconv.Itoa(n+1), "")
+		receive(t, p.routing)
+		p.decide <- sendToE1
+	}
+	close(release)
+	rejected := 0
+	for range open {
+		outcome := receive(t, p.outcomes)
+		if outcome.Result == policy.ResourceExhausted && !outcome.Final {
+			rejected++
+		} else if outcome.Result != policy.Succeeded {
+			t.Errorf("the policy was told %+v", outcome)
+		}
+	}
+	if rejected == 0 || rejected == open {
+		t.Errorf("%d of %d answers found no room", rejected, open)
+	}
+	for range open {
+		lines := readLines(t, h.clientIn, 9)
+		if body := len(lines[8]); lines[4] == "200" && body != bodyBytes || lines[4] == "503" && body != 0 {
+			t.Errorf("answer %s with %d bytes", lines[4], body)
+		} else if lines[4] == "503" {
+			rejected--
+		}
+	}
+	if rejected != 0 {
+		t.Errorf("%d more answers found no room than requests were rejected", rejected)
+	}
+}
+
+// answerAll accepts connections to an endpoint and answers the requests on them with bodies of the
+// given size, once release is closed. It returns when the listener is closed.
+func answerAll(listener net.Listener, release <-chan struct{}, bodyBytes int) {
+	body := strings.Repeat("x", bodyBytes)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }() // the test may have ended
+			for lines := bufio.NewScanner(conn); lines.Scan(); {
+				words := strings.Fields(lines.Text())
+				if len(words) == 0 || words[0] != "want" { // the end of an empty body, or a cancel
+					continue
+				}
+				<-release
+				_, _ = fmt.Fprintf(conn, "%s data n=local %d\r\n%s\r\n", words[1], bodyBytes, body) // as above
+			}
+		}()
+	}
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -25,6 +25,8 @@
 	pending         map[uint64]bool
 	queue           []response // responses that the writer has not taken yet
 	queuedBytes     int        // bytes that are queued or being written
+	queuedResponses int        // responses that are queued or being written
+	writerProgress  *sync.Cond // signalled when queuedResponses falls or the connection is closed
 	phase           connPhase
 	input           inputMode
 	evicting        bool      // the reader is to close the connection if it is idle
@@ -54,10 +56,12 @@
 
 func newConn(s *Server, handler Handler, netConn net.Conn) *Conn {
 	now := time.Now()
-	return &Conn{
+	c := &Conn{
 		server: s, handler: handler, netConn: netConn, clientHash: hashHost(netConn.RemoteAddr()), pending: map[uint64]bool{},
 		writerWake: make(chan struct{}, 1), lastUsed: now, messageStart: now,
 	}
+	c.writerProgress = sync.NewCond(&c.mu)
+	return c
 }
 
 // IsPending reports whether the client still waits for the response to a request: the request has
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -52,6 +52,7 @@
 // handleInput processes the complete messages that the parser holds.
 func (c *Conn) handleInput(p *parser, now time.Time) {
 	for c.trackInput(now, p.hasPartial()) {
+		c.awaitWriter()
 		msg, ok, err := p.next()
 		switch {
 		case err != nil:
@@ -253,7 +254,7 @@
 	if admission.tooMany {
 		c.ReportBadRequest(errTooManyRequests)
 	}
-	if admission.tooMany || admission.late {
+	if admission.tooMany || admission.late || c.queueFull() {
 		c.RejectUnsent(tag, request)
 		return
 	}
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -135,7 +135,6 @@
 const (
 	closeEnded       closeReason = "ended" // by the client, a time-out, a drain or a panic
 	closeEvicted     closeReason = "evicted"
-	closeUnread      closeReason = "responses_unread"
 	closeWriteFailed closeReason = "write_failed"
 )
 
@@ -151,7 +150,8 @@
 	for _, queued := range c.queue {
 		queued.body.Free()
 	}
-	c.queue, c.queuedBytes, c.pending = nil, 0, map[uint64]bool{}
+	c.queue, c.queuedBytes, c.queuedResponses, c.pending = nil, 0, 0, map[uint64]bool{}
+	c.writerProgress.Signal()
 	_ = c.netConn.Close() // unsent data is discarded
 	c.wakeWriter()
 }
--- a/internal/downstream/writer.go
+++ b/internal/downstream/writer.go
@@ -17,12 +17,17 @@
 	queueFractionScarce = 64
 	minQueueBuffers     = 4
 
-	typicalHeaderBytes = 96 // size of a typical response header
+	// maxQueuedResponses is the number of responses left to write from which no further input of
+	// the client is processed. A client with maxPendingRequests open requests stays below it.
+	maxQueuedResponses = 4 * maxPendingRequests
+
+	maxBatchBytes      = bufpool.BufferSize // responses written together, unless a single one is larger
+	typicalHeaderBytes = 96                 // size of a typical response header
 )
 
 var (
 	errUnprocessable = errors.New("cache nodes agree that they cannot process the request")
-	errClientStalled = errors.New("client does not read its responses")
+	errQueueFull     = errors.New("client has too many responses left to read")
 
 	lineEnd = []byte("\r\n")
 )
@@ -33,9 +38,14 @@
 	body   *bufpool.Body
 }
 
+// size returns the size of the response in bytes, without the line end that follows the body.
+func (r response) size() int { return len(r.header) + r.body.Len() }
+
 // Succeed answers a request with a body or, if unchanged is set, tells the client that the copy it
-// holds is still valid. The connection takes ownership of the body.
-func (c *Conn) Succeed(tag uint64, body *bufpool.Body, unchanged bool) {
+// holds is still valid. The connection takes ownership of the body. Succeed returns false if the
+// client has left too much data unread for the body to be queued; the request is then still pending
+// and must be answered without a body.
+func (c *Conn) Succeed(tag uint64, body *bufpool.Body, unchanged bool) (queued bool) {
 	fields := ""
 	if unchanged {
 		fields = fieldUnchanged + "=1"
@@ -43,7 +53,7 @@
 	c.mu.Lock()
 	c.suspect = false
 	c.mu.Unlock()
-	c.respond(tag, statusSucceeded, fields, body)
+	return c.respond(tag, statusSucceeded, fields, body)
 }
 
 // Reject tells the client that a retry is harmless and after which delay it should retry. If
@@ -95,32 +105,63 @@
 }
 
 // respond queues the response to a request that is still pending, and frees the body otherwise. It
-// closes the connection of a client that leaves too much data unread.
-func (c *Conn) respond(tag uint64, status, fields string, body *bufpool.Body) {
-	maxQueuedBytes := c.server.maxQueuedBytes()
+// returns false, frees the body and leaves the request pending if there is a body and the client has
+// already left too much data unread.
+func (c *Conn) respond(tag uint64, status, fields string, body *bufpool.Body) (queued bool) {
+	if body.Len() > 0 && c.queueFull() {
+		body.Free()
+		c.server.logClientError(logevent.DownstreamWriteStalled, errQueueFull)
+		return false
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.pending[tag] { // already answered or cancelled, or the connection is closed
-		c.mu.Unlock()
 		body.Free()
-		return
+		return true
 	}
 	delete(c.pending, tag)
 	c.lastUsed = time.Now()
-	if c.queuedBytes > maxQueuedBytes {
-		c.closeLocked(closeUnread)
-		c.mu.Unlock()
-		body.Free()
-		c.server.logClientError(logevent.DownstreamWriteStalled, errClientStalled)
+	header := appendResponseHeader(make([]byte, 0, typicalHeaderBytes), tag, status, fields, body.Len())
+	queuedResponse := response{header, body}
+	c.queue = append(c.queue, queuedResponse)
+	c.queuedBytes += queuedResponse.size()
+	c.queuedResponses++
+	c.wakeWriter()
+	return true
+}
+
+// queueFull reports whether the client has left so much data unread that no further body may be
+// queued for it.
+func (c *Conn) queueFull() bool {
+	maxQueuedBytes := c.server.maxQueuedBytes()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queuedBytes > maxQueuedBytes
+}
+
+// awaitWriter passes the received requests to the handler and waits while maxQueuedResponses
+// responses are left to write. A client that does not read them is disconnected after WriteFlush,
+// which ends the wait. Only the reader may call it.
+func (c *Conn) awaitWriter() {
+	if !c.writerBehind() {
 		return
 	}
+	c.deliverReceived()
+	c.mu.Lock()
 	defer c.mu.Unlock()
-	header := appendResponseHeader(make([]byte, 0, typicalHeaderBytes), tag, status, fields, body.Len())
-	c.queue = append(c.queue, response{header, body})
-	c.queuedBytes += len(header) + body.Len()
-	c.wakeWriter()
+	for c.queuedResponses >= maxQueuedResponses {
+		c.writerProgress.Wait()
+	}
 }
 
-// maxQueuedBytes returns how many bytes one client may leave unread.
+// writerBehind reports whether maxQueuedResponses responses are left to write.
+func (c *Conn) writerBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queuedResponses >= maxQueuedResponses
+}
+
+// maxQueuedBytes returns how many bytes one client may leave unread before it gets no further body.
 func (s *Server) maxQueuedBytes() int {
 	inUse, limit := s.pool.InUse()
 	buffers := limit / queueFraction
@@ -136,9 +177,8 @@
 func (c *Conn) writeLoop() {
 	for range c.writerWake {
 		c.mu.Lock()
-		queue := c.queue
-		c.queue = nil
-		if c.phase == phaseDraining && len(queue) == 0 && c.idleLocked() {
+		batch := c.takeBatchLocked()
+		if c.phase == phaseDraining && len(batch) == 0 && c.idleLocked() {
 			c.wakeReader()
 		}
 		done := c.phase >= phaseHalfClosed
@@ -146,33 +186,57 @@
 		if done {
 			return
 		}
-		if len(queue) > 0 {
-			c.writeResponses(queue)
+		if len(batch) > 0 {
+			c.writeBatch(batch)
 		}
 	}
 }
 
-// writeResponses writes the responses in queue and frees their bodies. It closes the connection of
-// a client that does not accept them within WriteFlush.
-func (c *Conn) writeResponses(queue []response) {
+// takeBatchLocked removes the next responses from the queue: as many as have maxBatchBytes together,
+// but at least one. The caller holds c.mu.
+func (c *Conn) takeBatchLocked() []response {
+	taken, bytes := 0, 0
+	for taken < len(c.queue) && (taken == 0 || bytes+c.queue[taken].size() <= maxBatchBytes) {
+		bytes += c.queue[taken].size()
+		taken++
+	}
+	batch := c.queue[:taken:taken]
+	if c.queue = c.queue[taken:]; len(c.queue) == 0 {
+		c.queue = nil
+	}
+	return batch
+}
+
+// writeBatch writes the responses of a batch and frees their bodies. It closes the connection of a
+// client that does not accept them within WriteFlush.
+func (c *Conn) writeBatch(batch []response) {
 	var buffers net.Buffers
-	for _, queued := range queue {
+	batchBytes := 0
+	for _, queued := range batch {
+		batchBytes += queued.size()
 		buffers = append(buffers, queued.header)
 		buffers = append(buffers, queued.body.Parts()...)
 		buffers = append(buffers, lineEnd)
 	}
 	// If the deadline cannot be set, the connection is closed and the write fails as well.
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(c.server.timeouts.WriteFlush.Duration()))
-	written, err := buffers.WriteTo(c.netConn)
-	for _, queued := range queue {
+	_, err := buffers.WriteTo(c.netConn)
+	for _, queued := range batch {
 		queued.body.Free()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queuedBytes = max(0, c.queuedBytes-int(written))
 	if err != nil {
 		c.closeLocked(closeWriteFailed)
-	} else if len(c.queue) > 0 || c.phase == phaseDraining {
+		return
+	}
+	if c.phase == phaseClosed {
+		return
+	}
+	c.queuedBytes -= batchBytes
+	c.queuedResponses -= len(batch)
+	c.writerProgress.Signal()
+	if len(c.queue) > 0 || c.phase == phaseDraining {
 		c.wakeWriter()
 	}
 }
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -47,6 +47,8 @@
 	// ErrLocalResources means that this machine could not open a connection, for lack of
 	// descriptors, memory, ports or a route. It says nothing about the node.
 	ErrLocalResources = errors.New("no local resources for a connection")
+	// ErrNoBuffer means that the endpoint answered, but the buffer pool had no room for the body.
+	ErrNoBuffer = errors.New("no buffer is available for the response body")
 	// ErrWithdrawn means that the request was dropped before it was written, because its endpoint
 	// or its source was draining, it was superseded, or the check set by SetWriteCheck refused the
 	// write.
@@ -57,7 +59,6 @@
 	errCancelled    = errors.New("cancelled")
 	errUnresponsive = errors.New("endpoint is not responding")
 	errStalled      = errors.New("read timed out in the middle of a response")
-	errNoBuffer     = errors.New("no buffer is available for the response body")
 )
 
 // localErrors are the errors of socket and connect that this machine causes. The kernel returns them
--- a/internal/upstream/parser.go
+++ b/internal/upstream/parser.go
@@ -167,7 +167,7 @@
 	}
 	if p.outOfBuffers {
 		response.Body.Free()
-		return p.onResponse(p.id, Response{}, errNoBuffer)
+		return p.onResponse(p.id, Response{}, ErrNoBuffer)
 	}
 	return p.onResponse(p.id, response, nil)
 }
--- a/policy/decision.go
+++ b/policy/decision.go
@@ -32,6 +32,7 @@
 	ReasonExhausted     Reason = "exhausted"     // it had all attempts that it may have
 	ReasonErrorRate     Reason = "error_rate"    // too many attempts fail for another one
 	ReasonUnprocessable Reason = "unprocessable" // endpoints agree that they cannot process it
+	ReasonNoMemory      Reason = "no_memory"     // no memory to hold the answer for the client
 )
 
 // Decision is what the policy wants done for one request.
--- a/policy/request.go
+++ b/policy/request.go
@@ -47,11 +47,15 @@
 	// Withdrawn is an attempt that was never written because an event after its decision made that
 	// decision outdated.
 	Withdrawn
+	// ResourceExhausted means that the endpoint answered, but the director has no memory to hold the
+	// answer for its client. The request has run, and the endpoint is not at fault.
+	ResourceExhausted
 )
 
 var resultNames = [...]string{
 	Succeeded: "succeeded", Failed: "failed", Rejected: "rejected", TimedOut: "timed_out", ConnectFailed: "connect_failed",
 	ConnectionLost: "connection_lost", Cancelled: "cancelled", NotSent: "not_sent", CacheMiss: "cache_miss", Withdrawn: "withdrawn",
+	ResourceExhausted: "resource_exhausted",
 }
 
 // String returns the name of the result for log lines.
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -108,11 +108,13 @@
 
 	DownstreamIdle    Micros // idle time after which a client connection without requests is closed
 	DefaultRetryAfter Micros // retry-after time of rejections made without asking the policy
-	WriteFlush        Micros // a client that accepts no bytes for this long is disconnected
-	DrainAccept       Micros // time after the stop signal in which new requests are accepted
-	DrainDeadline     Micros // time after the stop signal by which accepted requests are answered
-	LongPoll          Micros // maximum time for which the command channel may delay an answer
-	PollRetry         Micros // delay after an error of the command channel
+	// WriteFlush is the time within which a client must accept a batch of responses. Otherwise it is
+	// disconnected.
+	WriteFlush    Micros
+	DrainAccept   Micros // time after the stop signal in which new requests are accepted
+	DrainDeadline Micros // time after the stop signal by which accepted requests are answered
+	LongPoll      Micros // maximum time for which the command channel may delay an answer
+	PollRetry     Micros // delay after an error of the command channel
 
 	// Heartbeat is the interval of the heartbeats that a director sends to itself to detect stalls
 	// of its process.
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -25,6 +25,8 @@
 		r.recordUnexplainedErrors(now, state)
 	}
 	switch outcome.Result {
+	case policy.ResourceExhausted:
+		a.endpoint.recordAnswer(now)
 	case policy.Succeeded:
 		r.observeSuccess(now, request, a, outcome.CacheStatus)
 	case policy.CacheMiss:
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -47,6 +47,8 @@
 	unprocessable := len(state.unexplainedErrors) > boolean.Int(!request.ClientSuspect)
 	exhausted := state.fullAttempts > maxRetries || len(state.attempts)-state.withdrawn >= r.settings.MaxAttempts
 	switch {
+	case result == policy.ResourceExhausted: // another answer would find no memory either
+		return r.reject(now, request, state, policy.ReasonNoMemory)
 	case unprocessable:
 		decision := r.reject(now, request, state, policy.ReasonUnprocessable)
 		decision.Unprocessable = true
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -29,6 +29,8 @@
 		{"with a key, same cell", policy.IdempotentWithKey, policy.DedupScopeCell, policy.ConnectionLost, 0, policy.Send},
 		{"with a key, other cell", policy.IdempotentWithKey, policy.DedupScopeCell, policy.Failed, 0, policy.Fail},
 		{"with a key, same zone", policy.IdempotentWithKey, policy.DedupScopeZone, policy.Failed, 0, policy.Send},
+		{"idempotent, no memory for the answer", policy.Idempotent, policy.DedupScopeAll, policy.ResourceExhausted, 0, policy.Reject},
+		{"not idempotent, no memory for the answer", policy.NotIdempotent, policy.DedupScopeAll, policy.ResourceExhausted, 0, policy.Fail},
 		{"with a key, zone, past its window", policy.IdempotentWithKey, policy.DedupScopeZone, policy.TimedOut, 3 * policy.Second, policy.Fail},
 	}
 	for _, c := range cases {
