Dedup: a marked retry with an unknown key fails, whatever the timeout

Cause: Router.admit sent a retry with an unknown key like a first try unless the operator had set keys(strangers = "abandon") and the class's timeout was longer than its dedup window. The timeout bounds one try, not when the client's next try comes, so a director that lost its records, or never had them, could send a request long after the window.

Change: a marked retry with an unknown key fails, by default. So that the retry of a rejected request is still sent, the table knows keys from their first tries while nothing of them has run, in a bounded list. A record that expires makes its key unknown. keys(marks = 0) sends as before.

Tests changed: TestUnknownKeys asked that a retry is sent where timeout and window are equal, which is the fault; its new cases hold when a retry fails and when it must not. The golden test of defaults has the new default.

--- a/dedup/dedup.go
+++ b/dedup/dedup.go
@@ -16,9 +16,12 @@
 	// RetainWindows is the retention after a key's last attempt, in dedup windows of its content
 	// type. Values below 1 count as 1.
 	RetainWindows float64
-	// FailUnknownRetries makes a retry with an unknown key fail if the first attempt may be older
-	// than its dedup window.
+	// FailUnknownRetries makes a retry with an unknown key fail: its first try may have been sent by
+	// another director, or by this one before a restart, longer ago than the dedup window.
 	FailUnknownRetries bool
+	// MaxKnownKeys is the maximum number of keys without an attempt that may have run that are
+	// known from their first tries. The oldest ones are forgotten, and their retries fail.
+	MaxKnownKeys int
 }
 
 // Record states that an attempt with a key may have run.
@@ -31,11 +34,13 @@
 }
 
 // Table holds the records by key. A record expires RetainWindows after its key's last attempt, and
-// is removed at once when all attempts are known not to have run. A Table is not safe for
-// concurrent use: the goroutine of the routing.Router that owns it makes all calls.
+// is removed at once when all attempts are known not to have run; its key is then still known. A
+// Table is not safe for concurrent use: the goroutine of the routing.Router that owns it makes all
+// calls.
 type Table struct {
 	settings Settings
 	records  map[string]*Record
+	known    *keySet                   // known keys that have no record
 	wheel    *timerwheel.Wheel[string] // nil until the first lookup or attempt
 	rejected int                       // requests that found the table full
 }
@@ -43,7 +48,7 @@
 // New returns an empty table. With MaxRecords 0 the table stores nothing and CanRecord always
 // returns true.
 func New(settings Settings) *Table {
-	return &Table{settings: settings, records: map[string]*Record{}}
+	return &Table{settings: settings, records: map[string]*Record{}, known: newKeySet()}
 }
 
 // SetSettings replaces the settings. Existing records keep the expiry that they were given.
@@ -80,6 +85,7 @@
 		record = &Record{FirstAttemptAt: now, Zone: zone, Cell: cell}
 		record.expiry.Value = key
 		t.records[key] = record
+		t.known.remove(key)
 	}
 	record.attempts++
 	t.wheel.Schedule(&record.expiry, int64(now)+int64(float64(window)*max(1, t.settings.RetainWindows)))
@@ -95,14 +101,22 @@
 	if record.attempts--; record.attempts <= 0 {
 		t.wheel.Cancel(&record.expiry)
 		delete(t.records, key)
+		t.RecordFirstTry(key)
 	}
 }
 
-// RejectsUnknownKey reports whether a retry with an unknown key must fail. If the client's timeout
-// is longer than the dedup window, another director may have sent the request longer ago than the
-// window.
-func (t *Table) RejectsUnknownKey(timeout, window policy.Micros) bool {
-	return t.settings.FailUnknownRetries && timeout > window
+// RecordFirstTry records that a client's first try with a key has arrived here, of which no attempt
+// may have run yet.
+func (t *Table) RecordFirstTry(key string) {
+	if key != "" && t.records[key] == nil {
+		t.known.add(key, t.settings.MaxKnownKeys)
+	}
+}
+
+// FailsRetry reports whether a retry with the key must fail because it is not known where and when
+// its first try ran.
+func (t *Table) FailsRetry(key string) bool {
+	return t.settings.FailUnknownRetries && key != "" && t.records[key] == nil && !t.known.contains(key)
 }
 
 // Counts returns the number of records, and the number of requests so far that found the table
--- a/dedup/dedup_test.go
+++ b/dedup/dedup_test.go
@@ -91,15 +91,45 @@
 	}
 }
 
-// TestUnknownKeys guards against a wrong decision on retries with an unknown key.
+// TestUnknownKeys guards against sending a retry whose first try may have run where this table does
+// not know of it: at another director, before a restart, or so long ago that its record has expired.
+// A retry whose first try is known here, and has not run, must not fail.
 func TestUnknownKeys(t *testing.T) {
+	const key = "k"
+	firstTry := func(table *Table) { table.RecordFirstTry(key) }
+	attempt := func(table *Table) { table.RecordAttempt(0, key, window, 1, 1) }
+	notRun := func(table *Table) { table.AttemptNotRun(key, 0) }
+	expiry := func(table *Table) { table.Lookup(5*window, key, window) }
+	others := func(table *Table) { table.RecordFirstTry("l"); table.RecordFirstTry("m") }
 	for _, c := range []struct {
-		fails   bool
-		timeout policy.Micros
-		want    bool
-	}{{false, 10 * policy.Second, false}, {true, 10 * policy.Second, true}, {true, window, false}} {
-		if got := New(Settings{FailUnknownRetries: c.fails}).RejectsUnknownKey(c.timeout, window); got != c.want {
-			t.Errorf("%+v: %v", c, got)
-		}
+		name   string
+		fails  bool
+		events []func(*Table)
+		want   bool
+	}{
+		{"sent by setting", false, nil, false},
+		{"never seen", true, nil, true},
+		{"first try is known", true, []func(*Table){firstTry}, false},
+		{"has a record", true, []func(*Table){firstTry, attempt}, false},
+		{"attempt has not run", true, []func(*Table){firstTry, attempt, notRun}, false},
+		{"record has expired", true, []func(*Table){firstTry, attempt, expiry}, true},
+		{"forgotten for others", true, []func(*Table){firstTry, others}, true},
+		{"has a record, others come", true, []func(*Table){firstTry, attempt, others}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := New(Settings{MaxRecords: 2, RetainWindows: 1, FailUnknownRetries: c.fails, MaxKnownKeys: 2})
+			for _, event := range c.events {
+				event(table)
+			}
+			if got := table.FailsRetry(key); got != c.want {
+				t.Errorf("the retry fails: %v", got)
+			}
+			if known := table.known.order.Len(); known > 2 || known != len(table.known.elements) {
+				t.Errorf("%d keys are known", known)
+			}
+		})
+	}
+	if New(Settings{FailUnknownRetries: true}).FailsRetry("") {
+		t.Error("a retry without a key fails")
 	}
 }
--- a/deploy/director.star
+++ b/deploy/director.star
@@ -36,9 +36,9 @@
 
     # How long a key is stored after its last attempt, in dedup windows of the content type.
     remember = 20,
-    # What happens to marked retries with an unknown key if the client's timeout is longer than the
-    # dedup window. "send": they are sent; "abandon": they fail.
-    strangers = "send",
+    # What happens to marked retries with an unknown key, whose first try may have run longer ago
+    # than the dedup window. "abandon": they fail; "send": they are sent, and may run twice.
+    strangers = "abandon",
 )
 
 # After the stop signal, the director stops once no client has connected for this long. The default
--- a/internal/config/golden_test.go
+++ b/internal/config/golden_test.go
@@ -178,7 +178,7 @@
 		Overload: overload.Settings{
 			Mode: overload.ModeFixed, Horizon: 1, Windows: 10, DemandThreshold: 1.25, ConnectionSurge: 4, RetryShare: 0.5, ColdThreshold: 0.6, ReservableShare: 0.9, MaxReservations: 4096,
 		},
-		Dedup: dedup.Settings{MaxRecords: -1, RetainWindows: 20},
+		Dedup: dedup.Settings{MaxRecords: -1, RetainWindows: 20, FailUnknownRetries: true},
 	}
 	key := filepath.Join(t.TempDir(), "key")
 	if err := os.WriteFile(key, []byte(strings.Repeat("00", 32)), 0o600); err != nil {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -44,6 +44,7 @@
 	unsetMaxRecords   = -1
 	dedupRecordBytes  = 320 // approximate memory of one record
 	dedupMemoryShare  = 16  // 1/16 of the memory is for records if the script sets no number
+	recordsPerKey     = 4   // records for each key that is known without a record
 	maxDedupRecords   = 1 << 20
 	maxCores          = 256
 	minQuietPeriod    = time.Millisecond
@@ -56,7 +57,7 @@
 func DefaultOperator() Operator {
 	return Operator{
 		Overload: overload.DefaultSettings(),
-		Dedup:    dedup.Settings{MaxRecords: unsetMaxRecords, RetainWindows: defaultRetainWindows},
+		Dedup:    dedup.Settings{MaxRecords: unsetMaxRecords, RetainWindows: defaultRetainWindows, FailUnknownRetries: true},
 	}
 }
 
@@ -84,19 +85,30 @@
 	return o, err
 }
 
+// unknownRetryAction is what keys(strangers = ...) says about marked retries with an unknown key.
+type unknownRetryAction int
+
+const (
+	defaultUnknownRetries unknownRetryAction = iota // they fail, unless no keys are recorded
+	sendUnknownRetries
+	failUnknownRetries
+)
+
 // sections returns the functions that an operator's script may call.
 func (o *Operator) sections() map[string]section {
 	peers := Peers{Delegates: defaultDelegates}
+	unknownRetries := defaultUnknownRetries
 	return map[string]section{
 		"storm": {settings: overloadSettings(&o.Overload)},
 		"keys": {settings: []setting{
 			integerSetting("marks", &o.Dedup.MaxRecords, 0, maxDedupRecords),
 			numberSetting("remember", &o.Dedup.RetainWindows, 1, 1000),
-			choiceSetting("strangers", &o.Dedup.FailUnknownRetries, map[string]bool{"send": false, "abandon": true}),
+			choiceSetting("strangers", &unknownRetries, map[string]unknownRetryAction{"send": sendUnknownRetries, "abandon": failUnknownRetries}),
 		}, done: func() error {
-			if o.Dedup.FailUnknownRetries && o.Dedup.MaxRecords == 0 {
+			if unknownRetries == failUnknownRetries && o.Dedup.MaxRecords == 0 {
 				return keyErrorf("keys.strangers", "\"abandon\" with no marks would fail every retry with a key")
 			}
+			o.Dedup.FailUnknownRetries = unknownRetries != sendUnknownRetries && o.Dedup.MaxRecords != 0
 			return nil
 		}},
 		"door":    {settings: []setting{durationSetting("settle", &o.QuietPeriod, minQuietPeriod, maxQuietPeriod)}},
@@ -157,12 +169,16 @@
 }
 
 // DedupSettings returns the settings for idempotency keys. If the script does not set the number of
-// records, it is the number that fits into the records' share of the memory.
+// records, it is the number that fits into the records' share of the memory. The number of known
+// keys follows from it.
 func (o Operator) DedupSettings(l Limits) dedup.Settings {
 	settings := o.Dedup
 	if settings.MaxRecords < 0 {
 		settings.MaxRecords = int(l.MemoryLimit() / dedupMemoryShare / dedupRecordBytes)
 	}
+	if settings.FailUnknownRetries {
+		settings.MaxKnownKeys = max(1, settings.MaxRecords/recordsPerKey)
+	}
 	return settings
 }
 
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -219,6 +219,22 @@
 			}
 		}
 	})
+	t.Run("a retry after a rejection", func(t *testing.T) {
+		s := settings()
+		s.ContentTypes[0].RetrySafety = policy.IdempotentWithKey
+		r := newTestRouter(s, 2, 1)
+		r.SetOptions(Options{Dedup: dedup.Settings{MaxRecords: 10, RetainWindows: 20, FailUnknownRetries: true, MaxKnownKeys: 10}})
+		first := r.request("o")
+		first.IdempotencyKey, first.Deadline = "k", r.now // so that it is rejected unsent
+		if decision := r.Route(r.now, first); decision.Action != policy.Reject {
+			t.Fatalf("the first try: %+v", decision)
+		}
+		retry := r.request("o")
+		retry.IdempotencyKey, retry.IsRetry = "k", true
+		if decision := r.Route(r.now, retry); decision.Action != policy.Send {
+			t.Errorf("the retry: %+v", decision)
+		}
+	})
 }
 
 // TestUnprocessable checks that an error on which two endpoints agree is attributed to the client,
--- a/routing/router.go
+++ b/routing/router.go
@@ -149,12 +149,13 @@
 // admit looks up earlier tries of a new request and asks the overload controller to admit it. If
 // the request may not be routed, admit returns the final decision and false.
 func (r *Router) admit(now policy.Micros, request *policy.Request, state *requestState) (policy.Decision, bool) {
-	contentType := request.Type
-	mustBeKnown := request.IsRetry && request.IdempotencyKey != "" &&
-		r.dedup.RejectsUnknownKey(contentType.Timeout, contentType.DedupWindow)
-	if record := r.dedup.Lookup(now, request.IdempotencyKey, contentType.DedupWindow); record != nil {
+	key, window := request.IdempotencyKey, request.Type.DedupWindow
+	switch record := r.dedup.Lookup(now, key, window); {
+	case record != nil:
 		state.mayHaveRun = attemptFromRecord(record)
-	} else if mustBeKnown {
+	case !request.IsRetry:
+		r.dedup.RecordFirstTry(key)
+	case r.dedup.FailsRetry(key):
 		return policy.Decision{Action: policy.Fail, Reason: policy.ReasonUnknownKey}, false
 	}
 	if !r.overload.Admit(now, &state.admission) {
