Dispatch: end requests at their deadlines while the state is not trusted

Cause: Shard.awaitTrusted blocked the shard's goroutine for up to SuspectTimeout (0.8 s), and with it the timers that end requests at their deadlines and the calls that tell that clients left.

Evidence: all answers came at the moment at which the suspect state ended. TestDeadlinesDuringStall failed before: no request was answered while the state was suspect.

Change: the goroutine never waits for the monitor. While the state is not trusted, routes and the ends of attempts are kept in order and carried on afterwards; a request's timer runs at its deadline, when the policy can only end it. Nothing is sent or served meanwhile, as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -28,11 +28,11 @@
 	req.attempts = append(req.attempts, a)
 	if d.target == nil { // the endpoint was just removed from the list
 		a.Attempt = &upstream.Attempt{}
-		s.calls.PutUnbounded(func() { s.attemptEnded(req, number, policy.Withdrawn, upstream.Response{}) })
+		s.queueResult(func() { s.attemptEnded(req, number, policy.Withdrawn, upstream.Response{}) })
 		return
 	}
 	a.Attempt = d.target.byShard[s.number].Send(s.upstreamRequest(req, d), func(response upstream.Response, err error) {
-		s.calls.PutUnbounded(func() {
+		s.queueResult(func() {
 			result := resultOf(response, err)
 			if result != policy.Succeeded {
 				logevent.Detail(logevent.AttemptFailed, func() []any {
--- a/internal/dispatch/blocked_test.go
+++ b/internal/dispatch/blocked_test.go
@@ -236,6 +236,74 @@
 func (s fakeStallMonitor) Resolved() <-chan struct{}          { return s.resolved }
 func (fakeStallMonitor) StaleBy(read time.Time) time.Duration { return 0 }
 
+// startStall makes the shard's state suspect until the monitor's channel is closed.
+func (h *harness) startStall() fakeStallMonitor {
+	h.t.Helper()
+	monitor, set := fakeStallMonitor{make(chan struct{})}, make(chan struct{})
+	// called by the shard itself, since its goroutine reads the monitor
+	h.router.Shards()[0].calls.PutUnbounded(func() {
+		h.router.SetStallMonitor(monitor)
+		close(set)
+	})
+	<-set
+	return monitor
+}
+
+// shortRequest sends a request whose client waits for 200 ms.
+func (h *harness) shortRequest(tag string) {
+	h.t.Helper()
+	h.clientSends("ASK", tag, "clip", "txn="+id("t", tag)+",limit=200,item="+id("o", tag)+",n=0,shard=1")
+}
+
+// TestDeadlinesDuringStall guards against requests that get no answer at their deadline because the
+// shard waits until the director's state is trusted. Those with time left must wait, and then be
+// served.
+func TestDeadlinesDuringStall(t *testing.T) {
+	t.Run("new", func(t *testing.T) {
+		h, p := newBlockingHarness(t)
+		monitor := h.startStall()
+		h.request("1", "")
+		h.shortRequest("2")
+		if got := receive(t, p.routing); got != id("o", "2") {
+			t.Fatalf("the policy was asked about %s", got)
+		}
+		p.decide <- policy.Decision{Action: policy.Reject}
+		h.expectAnswer("2 503  ")
+		close(monitor.resolved)
+		if got := receive(t, p.routing); got != id("o", "1") {
+			t.Fatalf("the policy was asked about %s", got)
+		}
+		p.decide <- sendToE1
+		h.expectAtEndpoint("want " + id("t", "1"))
+		h.endpointSends(id("t", "1") + " data - 0\r\n\r\n")
+		h.expectAnswer("1 200  ")
+	})
+	t.Run("sent before", func(t *testing.T) {
+		h, p := newBlockingHarness(t)
+		p.afterDone = func() policy.Decision { return policy.Decision{Action: policy.Fail} }
+		for _, tag := range []string{"1", "2"} {
+			decision := sendToE1
+			if tag == "1" {
+				h.request(tag, "")
+			} else {
+				decision.Timeout = 200 * policy.Millisecond
+				h.shortRequest(tag)
+			}
+			receive(t, p.routing)
+			p.decide <- decision
+			h.expectAtEndpoint("want " + id("t", tag))
+		}
+		monitor := h.startStall()
+		h.endpointSends(id("t", "1") + " data - 0\r\n\r\n") // it must not be served yet
+		if outcome := receive(t, p.outcomes); outcome.Result != policy.TimedOut {
+			t.Errorf("attempt ended with result %s", outcome.Result)
+		}
+		h.expectAnswer("2 500  ")
+		close(monitor.resolved)
+		h.expectAnswer("1 200  ")
+	})
+}
+
 // TestLeavingDuringStall guards against asking the policy about a request whose client left or
 // cancelled it while the shard waited for the end of a stall.
 func TestLeavingDuringStall(t *testing.T) {
@@ -243,13 +311,7 @@
 		t.Run(departure.name, func(t *testing.T) {
 			h, p := newBlockingHarness(t)
 			client := h.newClient()
-			monitor, set := fakeStallMonitor{make(chan struct{})}, make(chan struct{})
-			// called by the shard itself, since its goroutine reads the monitor
-			h.router.Shards()[0].calls.PutUnbounded(func() {
-				h.router.SetStallMonitor(monitor)
-				close(set)
-			})
-			<-set
+			monitor := h.startStall()
 			h.requestFrom(client, "1")
 			departure.do(h, client)
 			h.request("2", "")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,7 +65,7 @@
 	return r
 }
 
-// SetStallMonitor makes all shards wait while the monitor does not trust the director's state. It
+// SetStallMonitor makes requests wait while the monitor does not trust the director's state. It
 // must be called before Run, or by a shard.
 func (r *Router) SetStallMonitor(monitor StallMonitor) { r.monitor = monitor }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -70,8 +70,14 @@
 	return req
 }
 
-// route asks the policy for a request's route and carries out its decision.
+// route asks the policy for a request's route and carries out its decision. While the state is not
+// trusted, the request waits until its deadline, when the policy can only end it.
 func (s *Shard) route(req *request) {
+	if now := s.router.Now(); now < req.Deadline && !s.trusted() {
+		req.recheckAt = now
+		s.postpone(req)
+		return
+	}
 	// the client has left, but the call that reports this is still queued
 	if !req.conn.IsWaiting(req.tag) {
 		s.finish(req)
@@ -191,6 +197,10 @@
 	defer recoverPanic(req)
 	req.timerDue = 0
 	now := s.router.Now()
+	if now < req.Deadline && !s.trusted() {
+		s.postpone(req)
+		return
+	}
 	for number, a := range req.attempts {
 		if !a.ended && a.deadline <= now && !req.Done {
 			a.Cancel(false)
@@ -204,16 +214,25 @@
 	s.schedule(req)
 }
 
-// schedule sets a request's timer to its recheck time or the earliest deadline of its attempts,
-// whichever comes first. If that time is later than before, the timer is not changed: it expires
-// early, finds nothing due and is set again.
-func (s *Shard) schedule(req *request) {
+// nextDue returns the recheck time of a request or the earliest deadline of its attempts, whichever
+// comes first; 0 for neither. While the state is not trusted, that is not before its deadline.
+func (s *Shard) nextDue(req *request) policy.Micros {
 	next := req.recheckAt
 	for _, a := range req.attempts {
 		if !a.ended && (next == 0 || a.deadline < next) {
 			next = a.deadline
 		}
 	}
+	if s.suspended {
+		next = max(next, req.Deadline)
+	}
+	return next
+}
+
+// schedule sets a request's timer to the time at which it is due next. If that time is later than
+// before, the timer is not changed: it expires early, finds nothing due and is set again.
+func (s *Shard) schedule(req *request) {
+	next := s.nextDue(req)
 	switch {
 	case req.Done || next == 0:
 		s.timers.Cancel(&req.timer)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -41,6 +41,13 @@
 	requests   map[*downstream.Conn]map[uint64]*request
 	timers     *timerwheel.Wheel[*request]
 	drainUntil policy.Micros // when all requests must be answered; 0 for no limit
+	// suspended is set while the director's state is not trusted, see trusted.
+	suspended bool
+	// ends of attempts that wait until the state is trusted; each attempt is there at most once
+	heldResults []func()
+	// requests to be scheduled again once the state is trusted, in the order in which they were due;
+	// each is there at most once for its route and once for its timer
+	postponed []*request
 }
 
 func newShard(r *Router, number int) *Shard {
@@ -58,18 +65,20 @@
 	defer timer.Stop()
 	var timerSetFor time.Time // zero while the timer is not set
 	for {
+		var resolved <-chan struct{} // nil unless suspended
+		if s.suspended {
+			resolved = s.router.monitor.Resolved()
+		}
 		select {
 		case <-s.calls.Ready():
+		case <-resolved:
 		case <-timer.C:
 			timerSetFor = time.Time{}
 		case <-s.done:
 			return
 		}
 		latest := s.router.epochs.Latest()
-		now, ok := s.runOnce()
-		if !ok {
-			return
-		}
+		now := s.runOnce()
 		// decisions made before it have been carried out
 		s.router.epochs.Acknowledge(s.number, latest)
 		if s.timers.Len() == 0 {
@@ -83,39 +92,65 @@
 	}
 }
 
-// runOnce makes the queued calls and runs the timers that are due at the time it returns. It
-// returns false if the router has stopped.
-func (s *Shard) runOnce() (now time.Time, ok bool) {
+// runOnce makes the queued calls and runs the timers that are due at the time it returns.
+func (s *Shard) runOnce() (now time.Time) {
+	if s.suspended && s.trusted() {
+		s.resume()
+	}
 	for _, call := range s.calls.TakeAll() {
-		if !s.awaitTrusted() {
-			return now, false
-		}
 		call()
 	}
-	if !s.awaitTrusted() {
-		return now, false
-	}
 	now = time.Now()
 	s.timers.Advance(int64(s.router.microsAt(now)), func(i *timerwheel.Item[*request]) { s.timerExpired(i.Value) })
-	return now, true
+	return now
 }
 
-// awaitTrusted waits while the director's state is not trusted; the monitor limits this time. It
-// returns false if the router has stopped. It is called before every queued call and before the
-// timers, because after a pause the queued calls are older than the events waiting on the command
-// channel, and nothing may be sent or served on their basis.
-func (s *Shard) awaitTrusted() bool {
-	for {
-		monitor := s.router.monitor
-		if monitor == nil || monitor.Trusted() {
-			return true
-		}
-		select {
-		case <-monitor.Resolved():
-		case <-s.done:
-			return false
-		}
+// trusted reports whether the director's state may be acted on now; the monitor limits the time for
+// which it may not. After a pause the queued calls are older than the events waiting on the command
+// channel, so nothing may be sent or served on their basis. Meanwhile requests wait, but are
+// answered at their deadlines, and clients that leave are noticed.
+func (s *Shard) trusted() bool {
+	monitor := s.router.monitor
+	if monitor == nil || monitor.Trusted() {
+		return true
 	}
+	s.suspended = true
+	return false
+}
+
+// resume continues with what has waited until the state is trusted.
+func (s *Shard) resume() {
+	s.suspended = false
+	held, postponed := s.heldResults, s.postponed
+	s.heldResults, s.postponed = nil, nil
+	for _, result := range held {
+		s.whenTrusted(result)
+	}
+	for _, req := range postponed {
+		s.schedule(req)
+	}
+}
+
+// postpone makes a request wait until the state is trusted, or else for its deadline.
+func (s *Shard) postpone(req *request) {
+	s.postponed = append(s.postponed, req)
+	s.schedule(req)
+}
+
+// whenTrusted makes a call that processes the end of an attempt, or keeps it until the state is
+// trusted.
+func (s *Shard) whenTrusted(result func()) {
+	if s.trusted() {
+		result()
+		return
+	}
+	s.heldResults = append(s.heldResults, result)
+}
+
+// queueResult queues a call that processes the end of an attempt. It may be called from any
+// goroutine.
+func (s *Shard) queueResult(result func()) {
+	s.calls.PutUnbounded(func() { s.whenTrusted(result) })
 }
 
 // drainBy makes open requests, and those that still arrive, end by the given time.
