Downstream: incomplete messages and all buffers keep to the memory limit

Cause: a connection whose message passed 1 KB took a buffer of 64 KB from the pool whatever its limit, and kept it until the message was whole. Writes to nodes and reads of bodies took buffers in the same way, and dropped free buffers were made anew faster than they were collected.

Change: every buffer keeps to the pool's limit. Incomplete messages grow in three sizes and share a quarter of it; from an eighth on, the oldest is given up with an answer. Small machines get less for the Go runtime, buffers and clients, so that the executable fits beside them.

--- a/internal/bufpool/bufpool.go
+++ b/internal/bufpool/bufpool.go
@@ -27,8 +27,9 @@
 
 // Pool provides buffers for reuse. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	free [len(sizeClasses)][][]byte // free buffers by size class; guarded by mu
+	mu        sync.Mutex                 // guards the next two fields
+	free      [len(sizeClasses)][][]byte // free buffers by size class
+	freeUnits int64                      // of all free buffers, in units of unitSize
 
 	inUse, limit atomic.Int64 // in units of unitSize
 }
@@ -49,18 +50,30 @@
 // number of connections is limited elsewhere, but the buffer counts as in use.
 func (p *Pool) Get() []byte { return p.take(largestClass) }
 
+// TryGet returns a buffer of the smallest size that holds the given number of bytes, or of BufferSize
+// if none does. It returns nil if the limit is reached.
+func (p *Pool) TryGet(bytes int) []byte { return p.getForBody(bytes) }
+
+// SizeFor returns the size in bytes of the buffer that TryGet returns.
+func (p *Pool) SizeFor(bytes int) int { return sizeClasses[classFor(bytes)] }
+
+// classFor returns the smallest size class that holds the given number of bytes, or the largest one.
+func classFor(bytes int) int {
+	for class, size := range sizeClasses {
+		if bytes <= size {
+			return class
+		}
+	}
+	return largestClass
+}
+
 // getForBody returns a buffer for a body that needs the given number of bytes, of the smallest size
 // that holds them or else of the largest size. It returns nil if the limit is reached.
 func (p *Pool) getForBody(needed int) []byte {
 	if p.inUse.Load() >= p.limit.Load() {
 		return nil
 	}
-	for class, size := range sizeClasses {
-		if needed <= size {
-			return p.take(class)
-		}
-	}
-	return p.take(largestClass)
+	return p.take(classFor(needed))
 }
 
 // take returns a buffer of a size class, and reuses a free one if there is any.
@@ -68,15 +81,36 @@
 	p.inUse.Add(int64(sizeClasses[class] / unitSize))
 	p.mu.Lock()
 	if n := len(p.free[class]); n > 0 {
-		buffer := p.free[class][n-1]
-		p.free[class] = p.free[class][:n-1]
+		buffer := p.removeFreeLocked(class)
 		p.mu.Unlock()
 		return buffer
 	}
+	p.dropExcessLocked()
 	p.mu.Unlock()
 	return make([]byte, sizeClasses[class])
 }
 
+// removeFreeLocked removes and returns a free buffer of a size class that has one. The caller holds
+// mu.
+func (p *Pool) removeFreeLocked(class int) []byte {
+	last := len(p.free[class]) - 1
+	buffer := p.free[class][last]
+	p.free[class][last] = nil
+	p.free[class] = p.free[class][:last]
+	p.freeUnits -= int64(sizeClasses[class] / unitSize)
+	return buffer
+}
+
+// dropExcessLocked drops free buffers while they exceed half of the limit, the largest ones first.
+// The caller holds mu.
+func (p *Pool) dropExcessLocked() {
+	for class := largestClass; class >= 0; class-- {
+		for len(p.free[class]) > 0 && p.freeUnits > p.limit.Load()/2 {
+			p.removeFreeLocked(class)
+		}
+	}
+}
+
 // Put returns a buffer to the pool. The caller must not use it afterwards.
 func (p *Pool) Put(buffer []byte) {
 	p.inUse.Add(-int64(cap(buffer) / unitSize))
@@ -85,6 +119,8 @@
 			p.mu.Lock()
 			if len(p.free[class]) < maxFreeBytes/size {
 				p.free[class] = append(p.free[class], buffer[:size])
+				p.freeUnits += int64(size / unitSize)
+				p.dropExcessLocked()
 			}
 			p.mu.Unlock()
 			return
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -14,6 +14,13 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 
+	// executableBytes is the memory of the pages of the executable that are in use at the same time.
+	executableBytes = 15 << 20
+	// fixedBytes is the memory that is needed apart from buffers: executableBytes, the Go runtime's
+	// own, and that of as many client connections as connectionsPerMB allows with little memory.
+	fixedBytes       = 28 << 20
+	connectionsPerMB = 12 // client connections for each MiB of memory
+
 	minMemoryMB = 32
 	minSockets  = 64
 
@@ -32,9 +39,14 @@
 // released, the status socket and gossip need some too.
 func (l Limits) reservedDescriptors() int { return max(minReservedDescriptors, l.Sockets/8) }
 
-// MaxClientConnections returns the maximum number of open client connections. Typical clients use a
-// third of the file descriptors.
+// MaxClientConnections returns the maximum number of open client connections, by descriptors and by
+// memory. The platform's clients may use a third of the descriptors.
 func (l Limits) MaxClientConnections() int {
+	return min(l.clientDescriptors(), max(l.Sockets/3, l.MemoryMB*connectionsPerMB))
+}
+
+// clientDescriptors returns the number of file descriptors for client connections.
+func (l Limits) clientDescriptors() int {
 	return min(l.Sockets/2, (l.Sockets-l.reservedDescriptors())*4/7)
 }
 
@@ -42,16 +54,25 @@
 // is allowed for first connections to nodes that have none. Together with the descriptors of
 // clients and of the director itself they stay within the limit, regardless of the number of nodes.
 func (l Limits) MaxNodeConnections() int {
-	return (l.Sockets - l.reservedDescriptors() - l.MaxClientConnections()) * 4 / 5
+	return (l.Sockets - l.reservedDescriptors() - l.clientDescriptors()) * 4 / 5
 }
 
-// MemoryLimit returns the memory limit of the Go runtime in bytes. A quarter of the memory is left
-// for allocations that the runtime does not count.
-func (l Limits) MemoryLimit() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
+// MemoryLimit returns the memory in bytes that buffers and records are a share of. A quarter of the
+// memory is left for allocations that the Go runtime does not count.
+func (l Limits) MemoryLimit() int64 { return l.memoryBytes() * 3 / 4 }
+
+// RuntimeLimit returns the memory limit of the Go runtime in bytes: MemoryLimit, or less if the
+// executable needs more than the rest.
+func (l Limits) RuntimeLimit() int64 { return min(l.MemoryLimit(), l.memoryBytes()-executableBytes) }
+
+func (l Limits) memoryBytes() int64 { return int64(l.MemoryMB) << 20 }
 
 // MaxBuffers returns the maximum number of buffers of the given size in bytes that may be in use
-// together: half of the runtime's memory.
-func (l Limits) MaxBuffers(size int) int { return int(l.MemoryLimit() / 2 / int64(size)) }
+// together: half of MemoryLimit, or what is left beside fixedBytes.
+func (l Limits) MaxBuffers(size int) int {
+	bytes := min(l.MemoryLimit()/2, l.memoryBytes()-fixedBytes)
+	return int(bytes / int64(size))
+}
 
 // check returns an error for the first limit that is too low for a director.
 func (l Limits) check() error {
--- a/internal/config/limits_test.go
+++ b/internal/config/limits_test.go
@@ -19,3 +19,23 @@
 		}
 	}
 }
+
+// TestMemoryFits guards against limits of the runtime and of the buffers that together with the
+// executable exceed the memory of a small machine.
+func TestMemoryFits(t *testing.T) {
+	const mib = 1 << 20
+	for memory := minMemoryMB; memory <= 256; memory++ {
+		l := Limits{MemoryMB: memory, Sockets: 1024}
+		total := int64(memory) * mib
+		if l.RuntimeLimit()+executableBytes > total || l.RuntimeLimit() > total*3/4 {
+			t.Errorf("%d MiB: the runtime may use %d bytes", memory, l.RuntimeLimit())
+		}
+		buffers := int64(l.MaxBuffers(mib)) * mib
+		if buffers+fixedBytes > total || buffers < 4*mib {
+			t.Errorf("%d MiB: %d bytes for buffers", memory, buffers)
+		}
+		if clients := l.MaxClientConnections(); clients < l.Sockets/3 || clients > 512 || clients > max(l.Sockets/3, 12*memory) {
+			t.Errorf("%d MiB: %d clients", memory, clients)
+		}
+	}
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -29,6 +29,7 @@
 	writerProgress  *sync.Cond // signalled when queuedResponses falls or the connection is closed
 	phase           connPhase
 	input           inputMode
+	inputBuffer     inputState
 	evicting        bool      // the reader is to close the connection if it is idle
 	messageReceived bool      // a complete message has been received
 	suspect         bool      // set by MarkSuspect, cleared when a request succeeds
--- a/internal/downstream/parser.go
+++ b/internal/downstream/parser.go
@@ -21,7 +21,7 @@
 type parser struct {
 	pool     *bufpool.Pool
 	small    [smallBufferSize]byte
-	buffer   []byte // small, or a pool buffer while a message does not fit into small; nil for none
+	buffer   []byte // small, or a pool buffer while a message does not fit into it; nil for none
 	start    int    // the bytes before it are parsed
 	end      int    // the bytes from here on are free
 	elements [][]byte
@@ -35,13 +35,58 @@
 	case len(unparsed) == 0:
 		p.release()
 		p.buffer = p.small[:]
-	case len(unparsed) == len(p.small) && len(p.buffer) == len(p.small):
-		p.buffer = p.pool.Get()
+		unparsed = nil
+	case p.isFull() && p.grow():
+		return p.buffer[p.end:]
 	}
 	p.start, p.end = 0, copy(p.buffer, unparsed)
 	return p.buffer[p.end:]
 }
 
+// isFull reports whether the buffer is full of unparsed bytes, so that readBuffer takes a larger one.
+func (p *parser) isFull() bool { return p.end-p.start == len(p.buffer) && p.end > p.start }
+
+// grow moves the unparsed bytes to a pool buffer of the next larger size. It returns false if the
+// pool has none left; the buffer is then still full.
+func (p *parser) grow() bool {
+	larger := p.pool.TryGet(len(p.buffer) + 1)
+	if larger == nil {
+		return false
+	}
+	end := copy(larger, p.buffer[p.start:p.end])
+	p.release()
+	p.buffer, p.end = larger, end
+	return true
+}
+
+// pooledBytes returns the size of the pool buffer in use; 0 for none.
+func (p *parser) pooledBytes() int {
+	if len(p.buffer) <= smallBufferSize {
+		return 0
+	}
+	return len(p.buffer)
+}
+
+// partialMessage returns what can be told of the incomplete message, which must not be malformed:
+// its tag, or 0 if the tag was not read, and its request if all elements before the body were read.
+func (p *parser) partialMessage() (msg message) {
+	data := p.buffer[p.start:p.end]
+	_, msg.tag, _ = checkFrame(data)
+	_, data, _, _ = parseLength(data, '*', maxElements)
+	var elements [][]byte
+	for len(elements) < bodyIndex {
+		length, rest, complete, err := parseLength(data, '$', maxElementBytes)
+		if err != nil || !complete || len(rest) < length+len(lineEnd) {
+			return msg
+		}
+		elements, data = append(elements, rest[:length]), rest[length+len(lineEnd):]
+	}
+	if string(elements[0]) == commandRequest {
+		msg.command, msg.request = commandRequest, parseRequest(elements[tagIndex+1:])
+	}
+	return msg
+}
+
 // advance records that n bytes were read into the buffer returned by readBuffer.
 func (p *parser) advance(n int) { p.end += n }
 
@@ -50,7 +95,7 @@
 
 // release returns the buffer to the pool.
 func (p *parser) release() {
-	if len(p.buffer) == bufpool.BufferSize {
+	if p.pooledBytes() > 0 {
 		p.pool.Put(p.buffer)
 	}
 	p.buffer, p.start, p.end = nil, 0, 0
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	maxPendingRequests = 32      // pending requests that the protocol allows per connection
-	discardBufferSize  = 8 << 10 // bytes per read of ignored input
+	maxPendingRequests = 32 // pending requests that the protocol allows per connection
 )
 
 // Request errors, which are logged.
@@ -30,9 +29,15 @@
 func (c *Conn) readLoop() {
 	defer c.Close()
 	p := parser{pool: c.server.pool}
+	defer c.releaseInput()
 	defer p.release()
 	defer c.dropReceived()
 	for {
+		if !c.reserveInput(&p) {
+			c.shedInput(&p, time.Now())
+			c.discardLoop(&p)
+			return
+		}
 		n, err := c.netConn.Read(p.readBuffer())
 		now := time.Now()
 		if err != nil && !c.handleReadError(err) {
@@ -42,8 +47,7 @@
 		c.handleInput(&p, now)
 		c.deliverWhenInputRead(now)
 		if !c.trackInput(now, false) {
-			p.release()
-			c.discardLoop()
+			c.discardLoop(&p)
 			return
 		}
 	}
@@ -78,11 +82,12 @@
 }
 
 // discardLoop continues to read in order to detect the client's disconnect. Closing the connection
-// with unread input would reset it and lose its last responses.
-func (c *Conn) discardLoop() {
-	buffer := make([]byte, discardBufferSize)
+// with unread input would reset it and lose its last responses. The parser's buffer is released.
+func (c *Conn) discardLoop(p *parser) {
+	p.release()
+	c.releaseInput()
 	for {
-		if _, err := c.netConn.Read(buffer); err != nil && !c.handleReadError(err) {
+		if _, err := c.netConn.Read(p.small[:]); err != nil && !c.handleReadError(err) {
 			return
 		}
 		c.deliverWhenInputRead(time.Now())
@@ -117,7 +122,7 @@
 			r.request.Body.Free()
 		}
 	}
-	c.received = c.received[:0]
+	c.received = nil // most clients send few requests at once
 }
 
 // dropReceived frees the received requests.
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -40,6 +40,7 @@
 	BadRequest             = "bad_request"              // a request is invalid
 	UnprocessableRequest   = "unprocessable_request"    // cache nodes agree: a request is invalid
 	DownstreamMalformed    = "downstream_malformed"     // a client sent a malformed message
+	DownstreamInputShed    = "downstream_input_shed"    // incomplete messages hold too much memory
 	DownstreamWriteStalled = "downstream_write_stalled" // a client has too many answers left to read
 	// The close of a connection was delayed because the process was descheduled; requests that
 	// arrived during the delay are lost.
--- a/internal/server/director.go
+++ b/internal/server/director.go
@@ -226,7 +226,7 @@
 		processors = d.operator.ShardCount(limits)
 	}
 	runtime.GOMAXPROCS(processors)
-	debug.SetMemoryLimit(limits.MemoryLimit())
+	debug.SetMemoryLimit(limits.RuntimeLimit())
 }
 
 // routingSettings returns the platform's settings with a seed that is specific to this director.
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -47,8 +47,9 @@
 	// ErrLocalResources means that this machine could not open a connection, for lack of
 	// descriptors, memory, ports or a route. It says nothing about the node.
 	ErrLocalResources = errors.New("no local resources for a connection")
-	// ErrNoBuffer means that the endpoint answered, but the buffer pool had no room for the body.
-	ErrNoBuffer = errors.New("no buffer is available for the response body")
+	// ErrNoBuffer means that the buffer pool had no room for the request, of which nothing was
+	// written, or for the body of the response.
+	ErrNoBuffer = errors.New("no buffer is available for the body")
 	// ErrWithdrawn means that the request was dropped before it was written, because its endpoint
 	// or its source was draining, it was superseded, or the check set by SetWriteCheck refused the
 	// write.
@@ -70,7 +71,7 @@
 // IsLocal reports whether an error of an attempt or a probe has its cause in this process or this
 // machine, so that it says nothing about the node.
 func IsLocal(err error) bool {
-	return errors.Is(err, ErrConnectionLimit) || errors.Is(err, ErrLocalResources)
+	return errors.Is(err, ErrConnectionLimit) || errors.Is(err, ErrLocalResources) || errors.Is(err, ErrNoBuffer)
 }
 
 // dialError returns the error of a failed dial, which wraps ErrLocalResources if this machine caused
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-const readBufferSize = 4 << 10 // bytes per read, except within large bodies
+const (
+	readBufferSize = 4 << 10  // bytes per read, except within large bodies
+	maxBodyRead    = 16 << 10 // bytes per read within large bodies, while the pool has room
+)
 
 // readLoop reads responses until the connection is closed or a response is malformed or incomplete,
 // and then closes the connection. It runs on the connection's reader goroutine, which is the only
@@ -26,7 +29,9 @@
 		hasDeadline = c.setReadDeadline(responses.midResponse(), hasDeadline)
 		buffer := small
 		if responses.bodyLeft > len(small) {
-			buffer = buffers.Get()
+			if large := buffers.TryGet(min(responses.bodyLeft, maxBodyRead)); large != nil {
+				buffer = large
+			}
 		}
 		err := c.readOnce(&responses, buffer)
 		if len(buffer) > len(small) {
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -17,6 +17,14 @@
 	isCancel bool
 }
 
+// maxSize returns an upper bound of the size of the encoded message, in bytes.
+func (m message) maxSize() int {
+	if m.isCancel {
+		return maxRequestHead
+	}
+	return m.attempt.maxSize
+}
+
 // batch is a group of messages that are written together. It belongs to the writer goroutine.
 type batch struct {
 	buffer   []byte // backs data; taken from the buffer pool if larger than writeBufferSize
@@ -64,14 +72,14 @@
 		c.close(io.EOF)
 		return false
 	}
-	b.buffer = small
-	if c.queue[0].attempt.maxSize > len(small) {
-		b.buffer = c.endpoint.pool.buffers.Get()
+	if b.buffer = c.batchBuffer(small); b.buffer == nil {
+		c.dropUnbuffered()
+		return true
 	}
 	b.data = b.buffer[:0]
 	for i := range c.queue {
 		m := &c.queue[i]
-		if len(b.data)+m.attempt.maxSize > len(b.buffer) {
+		if len(b.data)+m.maxSize() > len(b.buffer) {
 			c.wakeWriter() // the rest goes into the next batch
 			break
 		}
@@ -82,6 +90,26 @@
 	return true
 }
 
+// batchBuffer returns a buffer that holds the first message of the queue, or nil if the buffer pool
+// has no room for it. The caller holds the endpoint's lock.
+func (c *conn) batchBuffer(small []byte) []byte {
+	if size := c.queue[0].maxSize(); size > len(small) {
+		return c.endpoint.pool.buffers.TryGet(size)
+	}
+	return small
+}
+
+// dropUnbuffered ends the attempt of the queue's first message, a request for which there is no
+// buffer. The caller holds the endpoint's lock.
+func (c *conn) dropUnbuffered() {
+	first := c.queue[0]
+	c.queue = c.queue[1:]
+	if !first.attempt.finished {
+		c.finish(first.attempt, Response{}, &Error{Stage: NothingWritten, Cancelled: first.attempt.cancelled, Err: ErrNoBuffer})
+	}
+	c.wakeWriter() // for the rest of the queue
+}
+
 // encode appends an encoded message to the batch, unless the message's attempt has ended or must be
 // withdrawn. The caller holds the endpoint's lock.
 func (c *conn) encode(m *message, b *batch) {
--- a/internal/upstream/writer_test.go
+++ b/internal/upstream/writer_test.go
@@ -207,3 +207,29 @@
 		})
 	}
 }
+
+// TestNoBufferForRequest guards against a write buffer beyond the pool's limit, and against blaming
+// the endpoint for the lack of one. A cancel message needs none, and later requests are written.
+func TestNoBufferForRequest(t *testing.T) {
+	f := newFixture(t, testTimeouts, 8)
+	large := testRequest("1")
+	large.Body = f.pool.buffers.NewBody(0)
+	large.Body.Append(make([]byte, 10_000))
+	var taken [][]byte
+	for buffer := f.pool.buffers.TryGet(1); buffer != nil; buffer = f.pool.buffers.TryGet(1) {
+		taken = append(taken, buffer)
+	}
+	_, outcomes := sendTo(f.endpoint, large)
+	if got := <-outcomes; !errors.Is(got.err, ErrNoBuffer) || !IsLocal(got.err) {
+		t.Errorf("ended with %v", got.err)
+	}
+	for _, buffer := range taken {
+		f.pool.buffers.Put(buffer)
+	}
+	_, outcomes = sendTo(f.endpoint, large)
+	n := f.accept()
+	n.expect("want 1")
+	n.write("1 data - 0\r\n\r\n")
+	expectOutcome(t, outcomes, "data 0")
+	large.Body.Free()
+}
