Dedup: a share of the table for each connection, and room after the window

Cause: the table of keys is shared by all clients, keeps each key for 20 dedup windows, and refuses new keys when it is full.

Evidence: the refusals have the reason dedup_full, and begin once 9,830 keys (64 MB) were sent.

Change: while more than half of the table is in use, a connection may have a sixteenth of it. In a full table the record whose last attempt is the oldest makes room for a new key once its window has passed; its retries fail as before, since unknown keys do.

--- a/dedup/dedup.go
+++ b/dedup/dedup.go
@@ -4,6 +4,8 @@
 package dedup
 
 import (
+	"container/list"
+
 	"tallyproxy/policy"
 	"tallyproxy/timerwheel"
 )
@@ -22,6 +24,13 @@
 	// MaxKnownKeys is the maximum number of keys without an attempt that may have run that are
 	// known from their first tries. The oldest ones are forgotten, and their retries fail.
 	MaxKnownKeys int
+	// EvictPastWindow lets a new key take the place of the record whose last attempt is the oldest, in
+	// a full table, once that record's dedup window has passed since. Only with FailUnknownRetries is
+	// this as safe: the retries of an evicted key fail, as those of a recorded one.
+	EvictPastWindow bool
+	// ClientFraction limits the records of one client's connection, while more than half of
+	// MaxRecords are in use, to one part in ClientFraction of MaxRecords; 0 for no limit.
+	ClientFraction int
 }
 
 // Record states that an attempt with a key may have run.
@@ -29,8 +38,11 @@
 	FirstAttemptAt policy.Micros // when the first attempt that may have run was sent
 	Zone           int           // zone of the endpoint of that attempt
 	Cell           int           // cell of that endpoint
+	client         uint64        // connection whose request made the record
 	attempts       int           // number of attempts that may have run
+	windowEnd      policy.Micros // end of the dedup window of the last attempt
 	expiry         timerwheel.Item[string]
+	order          *list.Element // in Table.order
 }
 
 // Table holds the records by key. A record expires RetainWindows after its key's last attempt, and
@@ -40,6 +52,8 @@
 type Table struct {
 	settings Settings
 	records  map[string]*Record
+	order    *list.List                // keys of the records, by their last attempts, oldest first
+	clients  map[uint64]int            // number of records by client connection; none are 0
 	known    *keySet                   // known keys that have no record
 	wheel    *timerwheel.Wheel[string] // nil until the first lookup or attempt
 	rejected int                       // requests that found the table full
@@ -48,7 +62,7 @@
 // New returns an empty table. With MaxRecords 0 the table stores nothing and CanRecord always
 // returns true.
 func New(settings Settings) *Table {
-	return &Table{settings: settings, records: map[string]*Record{}, known: newKeySet()}
+	return &Table{settings: settings, records: map[string]*Record{}, order: list.New(), clients: map[uint64]int{}, known: newKeySet()}
 }
 
 // SetSettings replaces the settings. Existing records keep the expiry that they were given.
@@ -64,30 +78,67 @@
 	return t.records[key]
 }
 
-// CanRecord reports whether an attempt with the key can be recorded. If it returns false, the
-// attempt must not be sent, and nothing has run.
-func (t *Table) CanRecord(key string) bool {
-	if key == "" || t.settings.MaxRecords == 0 || t.records[key] != nil || len(t.records) < t.settings.MaxRecords {
+// CanRecord reports whether an attempt with the key, for a request on the given client connection,
+// can be recorded now. If it returns false, the attempt must not be sent, and nothing has run.
+func (t *Table) CanRecord(now policy.Micros, key string, client uint64) bool {
+	if key == "" || t.settings.MaxRecords == 0 || t.records[key] != nil {
+		return true
+	}
+	hasRoom := len(t.records) < t.settings.MaxRecords || t.canEvict(now)
+	if hasRoom && !t.exceedsShare(client) {
 		return true
 	}
 	t.rejected++
 	return false
 }
 
-// RecordAttempt records an attempt that is sent now to an endpoint in the given zone and cell.
-func (t *Table) RecordAttempt(now policy.Micros, key string, window policy.Micros, zone, cell int) {
+// exceedsShare reports whether a client connection has as many records as it may have while the
+// table is in demand.
+func (t *Table) exceedsShare(client uint64) bool {
+	if t.settings.ClientFraction == 0 || len(t.records) <= t.settings.MaxRecords/2 {
+		return false
+	}
+	return t.clients[client] >= max(1, t.settings.MaxRecords/t.settings.ClientFraction)
+}
+
+// canEvict reports whether a new key may take the place of the oldest record.
+func (t *Table) canEvict(now policy.Micros) bool {
+	oldest := t.order.Front()
+	return t.settings.EvictPastWindow && oldest != nil && now >= t.records[oldest.Value.(string)].windowEnd
+}
+
+// remove removes a key's record.
+func (t *Table) remove(key string) {
+	record := t.records[key]
+	t.wheel.Cancel(&record.expiry)
+	t.order.Remove(record.order)
+	if t.clients[record.client]--; t.clients[record.client] == 0 {
+		delete(t.clients, record.client)
+	}
+	delete(t.records, key)
+}
+
+// RecordAttempt records an attempt that is sent now to an endpoint in the given zone and cell, for a
+// request on the given client connection.
+func (t *Table) RecordAttempt(now policy.Micros, key string, window policy.Micros, zone, cell int, client uint64) {
 	if key == "" || t.settings.MaxRecords == 0 {
 		return
 	}
 	t.expire(now, window)
 	record := t.records[key]
 	if record == nil {
-		record = &Record{FirstAttemptAt: now, Zone: zone, Cell: cell}
+		if len(t.records) >= t.settings.MaxRecords && t.canEvict(now) {
+			t.remove(t.order.Front().Value.(string))
+		}
+		record = &Record{FirstAttemptAt: now, Zone: zone, Cell: cell, client: client, order: t.order.PushBack(key)}
+		t.clients[client]++
 		record.expiry.Value = key
 		t.records[key] = record
 		t.known.remove(key)
 	}
 	record.attempts++
+	record.windowEnd = max(record.windowEnd, now+window)
+	t.order.MoveToBack(record.order)
 	t.wheel.Schedule(&record.expiry, int64(now)+int64(float64(window)*max(1, t.settings.RetainWindows)))
 }
 
@@ -99,16 +150,16 @@
 		return
 	}
 	if record.attempts--; record.attempts <= 0 {
-		t.wheel.Cancel(&record.expiry)
-		delete(t.records, key)
-		t.RecordFirstTry(key)
+		t.remove(key)
+		t.RecordFirstTry(key, record.client)
 	}
 }
 
-// RecordFirstTry records that a client's first try with a key has arrived here, of which no attempt
-// may have run yet.
-func (t *Table) RecordFirstTry(key string) {
-	if key != "" && t.records[key] == nil {
+// RecordFirstTry records that a first try with a key has arrived here on the given client connection,
+// of which no attempt may have run yet. Connections that exceed their share are not recorded, so
+// that they do not displace the keys of others.
+func (t *Table) RecordFirstTry(key string, client uint64) {
+	if key != "" && t.records[key] == nil && !t.exceedsShare(client) {
 		t.known.add(key, t.settings.MaxKnownKeys)
 	}
 }
@@ -128,5 +179,5 @@
 	if t.wheel == nil {
 		t.wheel = timerwheel.New[string](max(1, int64(window)/ticksPerWindow), int64(now))
 	}
-	t.wheel.Advance(int64(now), func(item *timerwheel.Item[string]) { delete(t.records, item.Value) })
+	t.wheel.Advance(int64(now), func(item *timerwheel.Item[string]) { t.remove(item.Value) })
 }
--- a/dedup/dedup_test.go
+++ b/dedup/dedup_test.go
@@ -29,8 +29,8 @@
 			case 0:
 				now += policy.Micros(rapid.IntRange(0, 4_000_000).Draw(t, "step"))
 			case 1:
-				if table.Lookup(now, key, window); table.CanRecord(key) {
-					table.RecordAttempt(now, key, window, 1, 2)
+				if table.Lookup(now, key, window); table.CanRecord(now, key, 1) {
+					table.RecordAttempt(now, key, window, 1, 2, 1)
 					attempts[key] = append(attempts[key], &sentAttempt{at: now, ran: true})
 				} else if record := table.records[key]; record != nil {
 					t.Fatal("no room for a key that has a record")
@@ -73,20 +73,20 @@
 // against a disabled table that stores a key.
 func TestFullTable(t *testing.T) {
 	table := New(Settings{MaxRecords: 2, RetainWindows: 1})
-	table.RecordAttempt(0, "a", window, 0, 0)
-	table.RecordAttempt(0, "b", window, 0, 0)
-	if !table.CanRecord("a") || table.CanRecord("c") {
+	table.RecordAttempt(0, "a", window, 0, 0, 1)
+	table.RecordAttempt(0, "b", window, 0, 0, 1)
+	if !table.CanRecord(0, "a", 1) || table.CanRecord(0, "c", 1) {
 		t.Error("a full table must accept a recorded key and reject a new one")
 	}
 	table.AttemptNotRun("a", 0)
-	if !table.CanRecord("c") {
+	if !table.CanRecord(0, "c", 1) {
 		t.Error("no room after an attempt was removed")
 	}
 	if records, rejected := table.Counts(); records != 1 || rejected != 1 {
 		t.Errorf("%d records, %d rejected", records, rejected)
 	}
 	disabled := New(Settings{})
-	if disabled.RecordAttempt(0, "a", window, 0, 0); disabled.Lookup(0, "a", window) != nil || !disabled.CanRecord("a") {
+	if disabled.RecordAttempt(0, "a", window, 0, 0, 1); disabled.Lookup(0, "a", window) != nil || !disabled.CanRecord(0, "a", 1) {
 		t.Error("a disabled table stores or rejects a key")
 	}
 }
@@ -96,11 +96,11 @@
 // A retry whose first try is known here, and has not run, must not fail.
 func TestUnknownKeys(t *testing.T) {
 	const key = "k"
-	firstTry := func(table *Table) { table.RecordFirstTry(key) }
-	attempt := func(table *Table) { table.RecordAttempt(0, key, window, 1, 1) }
+	firstTry := func(table *Table) { table.RecordFirstTry(key, 1) }
+	attempt := func(table *Table) { table.RecordAttempt(0, key, window, 1, 1, 1) }
 	notRun := func(table *Table) { table.AttemptNotRun(key, 0) }
 	expiry := func(table *Table) { table.Lookup(5*window, key, window) }
-	others := func(table *Table) { table.RecordFirstTry("l"); table.RecordFirstTry("m") }
+	others := func(table *Table) { table.RecordFirstTry("l", 1); table.RecordFirstTry("m", 1) }
 	for _, c := range []struct {
 		name   string
 		fails  bool
@@ -133,3 +133,60 @@
 		t.Error("a retry without a key fails")
 	}
 }
+
+// TestEviction guards against a table that one client fills with ever new keys, so that all others'
+// requests with new keys are rejected: records whose dedup window has passed must make room, the
+// oldest first, and no others.
+func TestEviction(t *testing.T) {
+	table := New(Settings{MaxRecords: 2, RetainWindows: 20, FailUnknownRetries: true, MaxKnownKeys: 2, EvictPastWindow: true})
+	table.RecordAttempt(0, "a", window, 0, 0, 1)
+	table.RecordAttempt(1, "b", window, 0, 0, 1)
+	table.RecordAttempt(window/2, "a", window, 0, 0, 1)
+	if table.CanRecord(window, "c", 1) {
+		t.Error("a record makes room within its window")
+	}
+	if !table.CanRecord(window+1, "c", 1) {
+		t.Fatal("no record makes room after its window")
+	}
+	table.RecordAttempt(window+1, "c", window, 0, 0, 1)
+	if table.records["a"] == nil || table.records["b"] != nil || table.records["c"] == nil {
+		t.Errorf("records %v", table.records)
+	}
+	if !table.FailsRetry("b") {
+		t.Error("a retry with an evicted key does not fail")
+	}
+	table.AttemptNotRun("b", 1) // its outcome arrives late
+	if records, _ := table.Counts(); records != 2 || table.order.Len() != 2 {
+		t.Errorf("%d records, %d in order", records, table.order.Len())
+	}
+}
+
+// TestClientShare guards against one client connection that takes the whole table: while more than
+// half of it is in use, a connection may not exceed its part, and others still find room.
+func TestClientShare(t *testing.T) {
+	const flood, other = 1, 2
+	table := New(Settings{MaxRecords: 16, RetainWindows: 1, ClientFraction: 4})
+	sent := 0
+	for key := range 100 {
+		if name := fmt.Sprint(key); table.CanRecord(0, name, flood) {
+			table.RecordAttempt(0, name, window, 0, 0, flood)
+			sent++
+		}
+	}
+	if sent != 9 { // one more than half of the table
+		t.Errorf("one connection has %d records", sent)
+	}
+	for key := range 4 {
+		name := fmt.Sprint("other", key)
+		if !table.CanRecord(0, name, other) {
+			t.Fatalf("no room for key %d of another connection", key)
+		}
+		table.RecordAttempt(0, name, window, 0, 0, other)
+	}
+	if table.CanRecord(0, "other4", other) {
+		t.Error("another connection exceeds its part")
+	}
+	if table.Lookup(3*window, "x", window); len(table.clients) != 0 {
+		t.Errorf("%d clients are counted without records", len(table.clients))
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -41,10 +41,14 @@
 	defaultRetainWindows = 20
 
 	// unsetMaxRecords, as dedup.Settings.MaxRecords, means that the script does not set the number.
-	unsetMaxRecords   = -1
-	dedupRecordBytes  = 320 // approximate memory of one record
-	dedupMemoryShare  = 16  // 1/16 of the memory is for records if the script sets no number
-	recordsPerKey     = 4   // records for each key that is known without a record
+	unsetMaxRecords  = -1
+	dedupRecordBytes = 320 // approximate memory of one record
+	dedupMemoryShare = 16  // 1/16 of the memory is for records if the script sets no number
+	recordsPerKey    = 4   // records for each key that is known without a record
+
+	// recordsClientFraction limits the records of one connection, see dedup.Settings.
+	recordsClientFraction = 16
+
 	maxDedupRecords   = 1 << 20
 	maxCores          = 256
 	minQuietPeriod    = time.Millisecond
@@ -178,7 +182,9 @@
 	}
 	if settings.FailUnknownRetries {
 		settings.MaxKnownKeys = max(1, settings.MaxRecords/recordsPerKey)
+		settings.EvictPastWindow = true
 	}
+	settings.ClientFraction = recordsClientFraction
 	return settings
 }
 
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -18,6 +18,7 @@
 	handler    Handler
 	netConn    net.Conn
 	clientHash uint64        // hash of the client's address without its port
+	number     uint64        // of the connections that the server has accepted, from 1
 	writerWake chan struct{} // one element: there is output to write, or the phase has changed
 
 	mu sync.Mutex // guards the fields below, except those owned by the reader
@@ -58,7 +59,7 @@
 func newConn(s *Server, handler Handler, netConn net.Conn) *Conn {
 	now := time.Now()
 	c := &Conn{
-		server: s, handler: handler, netConn: netConn, clientHash: hashHost(netConn.RemoteAddr()), pending: map[uint64]bool{},
+		server: s, handler: handler, netConn: netConn, clientHash: hashHost(netConn.RemoteAddr()), number: s.accepted.Add(1), pending: map[uint64]bool{},
 		writerWake: make(chan struct{}, 1), lastUsed: now, messageStart: now,
 	}
 	c.writerProgress = sync.NewCond(&c.mu)
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -223,7 +223,7 @@
 	a.late = c.phase == phaseDraining && now.After(c.closeDeadline)
 	c.pending[msg.tag] = true
 	c.lastUsed, c.messageStart, c.messageReceived = now, time.Time{}, true
-	msg.request.ClientSuspect, msg.request.ClientHash = c.suspect, c.clientHash
+	msg.request.ClientSuspect, msg.request.ClientHash, msg.request.ClientConn = c.suspect, c.clientHash, c.number
 	return a, true
 }
 
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -50,6 +50,7 @@
 	Body           *bufpool.Body       // body of a write; freed by the owner of the request
 	ArrivedAt      time.Time           // when the request was read
 	ClientHash     uint64              // hash of the client's address without its port
+	ClientConn     uint64              // number of the client's connection, from 1
 	ClientSuspect  bool                // see Conn.MarkSuspect
 
 	rawBody  []byte // body in the parser's buffer, until it is copied to Body
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -51,6 +51,7 @@
 	lastAccept   atomic.Int64  // time since startedAt in nanoseconds; negative before the first
 	awaitingSlot atomic.Bool   // an accepted connection waits until fewer than maxConns are open
 	openAccepts  atomic.Int64  // calls of Serve that have not returned
+	accepted     atomic.Uint64 // connections accepted so far
 	inputBytes   atomic.Int64  // bytes of the buffers that hold incomplete messages
 	connEnded    chan struct{} // one element: a connection has ended since the last receive
 
--- a/policy/request.go
+++ b/policy/request.go
@@ -10,6 +10,7 @@
 	SizeKB     float64      // size of the answer; 0 if unknown
 	IsRetry    bool         // the client marked the request as a retry
 	ClientHash uint64       // hash of the client's address; 0 if unknown
+	ClientConn uint64       // number of the client's connection; 0 if unknown
 
 	// IdempotencyKey is the key of an IdempotentWithKey request. It is the same for all retries of
 	// the client, and empty if the client gave none.
--- a/routing/router.go
+++ b/routing/router.go
@@ -154,7 +154,7 @@
 	case record != nil:
 		state.mayHaveRun = attemptFromRecord(record)
 	case !request.IsRetry:
-		r.dedup.RecordFirstTry(key)
+		r.dedup.RecordFirstTry(key, request.ClientConn)
 	case r.dedup.FailsRetry(key):
 		return policy.Decision{Action: policy.Fail, Reason: policy.ReasonUnknownKey}, false
 	}
