Socket: notice a client's close behind input that was not read

Cause: IsWaiting peeked into the socket for one byte, and the end of the stream shows there only once all input before it has been read.

Evidence: with the new departure "closed behind input that was not read", TestNothingWrittenForLeftClients failed before: the attempt was written.

Change: PeerClosed asks poll for POLLRDHUP, which tells of the end whatever lies unread. It is used before a route is asked for, before an attempt is written, and before requests are handed on.

--- a/internal/dispatch/blocked_test.go
+++ b/internal/dispatch/blocked_test.go
@@ -31,6 +31,17 @@
 	time.Sleep(leaveDelay)
 }}
 
+// closedBehindInput is a departure behind input that the connection's reader has not read.
+var closedBehindInput = departure{"closed behind input that was not read", func(h *harness, client net.Conn) {
+	h.clientReads.Lock()
+	h.t.Cleanup(h.clientReads.Unlock)
+	write(h.t, client, message("STATUS", "7"))
+	time.Sleep(leaveDelay) // the reader has taken this from the socket, and waits
+	write(h.t, client, message("STATUS", "8"))
+	closeAll(h.t, client)
+	time.Sleep(leaveDelay)
+}}
+
 // departures lists the ways in which a client stops waiting for its request.
 var departures = []departure{
 	{"closed", func(h *harness, client net.Conn) {
@@ -47,7 +58,7 @@
 // that has left, while the call that reports this waits behind others in the shard's queue, or while
 // the reader that would notice waits for a processor.
 func TestNothingWrittenForLeftClients(t *testing.T) {
-	for _, departure := range append(slices.Clone(departures), closedUnread) {
+	for _, departure := range append(slices.Clone(departures), closedUnread, closedBehindInput) {
 		t.Run("a first attempt, "+departure.name, func(t *testing.T) {
 			h, p := newBlockingHarness(t)
 			client := h.newClient()
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -82,7 +82,7 @@
 	if !c.IsPending(tag) {
 		return false
 	}
-	_, left := socket.PendingInput(c.netConn)
+	left := socket.PeerClosed(c.netConn)
 	if left {
 		c.Close()
 	}
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -95,7 +95,7 @@
 }
 
 // deliverWhenInputRead passes the received requests to the handler once the socket holds no further
-// input and the client has not closed its side, or after MaxDecisionAge.
+// input, or after MaxDecisionAge. If the client has closed its side, it closes the connection.
 func (c *Conn) deliverWhenInputRead(now time.Time) {
 	if len(c.received) == 0 { // none were received, or all were cancelled
 		c.receivedSince = time.Time{}
@@ -104,8 +104,12 @@
 	if c.receivedSince.IsZero() {
 		c.receivedSince = now
 	}
-	data, closed := socket.PendingInput(c.netConn)
-	if !data && !closed || now.Sub(c.receivedSince) >= c.server.timeouts.MaxDecisionAge.Duration() {
+	if socket.PeerClosed(c.netConn) {
+		c.Close()
+		return
+	}
+	data, _ := socket.PendingInput(c.netConn)
+	if !data || now.Sub(c.receivedSince) >= c.server.timeouts.MaxDecisionAge.Duration() {
 		c.deliverReceived()
 		c.receivedSince = time.Time{}
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -25,6 +25,23 @@
 	return data, closed
 }
 
+// PeerClosed reports whether the other side has closed or reset the connection, also if the kernel
+// holds received bytes that have not been read yet. It returns false for a connection without a file
+// descriptor.
+func PeerClosed(conn net.Conn) (closed bool) {
+	withDescriptor(conn, func(descriptor int) {
+		const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(polled, 0)
+		for errors.Is(err, unix.EINTR) {
+			_, err = unix.Poll(polled, 0)
+		}
+		// without memory for the call, the reader notices the end itself
+		closed = err == nil && polled[0].Revents&ended != 0
+	})
+	return closed
+}
+
 // CloseWriteIfEmpty closes the sending side of a connection, unless the kernel holds received bytes
 // that have not been read yet. It reports whether it closed it, when it checked for input, and how
 // much time passed between the check and the end of the close. Check and close are two consecutive
