Routing: a request that is not idempotent is recognized when its id comes again

Cause: ids were guarded while their request or an attempt was open. After the client had left and the cancellation was written nothing told that the attempt may have run.

Change: the table of idempotency keys records the ids of requests that are not idempotent, as it records keys: from the moment an attempt is sent, unless it is known not to have run. A request that comes again fails.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -55,7 +55,7 @@
 	req := &request{shard: s, conn: c, tag: tag, message: message}
 	req.timer.Value = req
 	req.Type, req.Object, req.Part, req.Group = message.Type, message.Object, message.Part, message.Group
-	req.IsRetry, req.IdempotencyKey = message.IsRetry, message.IdempotencyKey
+	req.ID, req.IsRetry, req.IdempotencyKey = message.TransactionID, message.IsRetry, message.IdempotencyKey
 	req.ClientHash, req.ClientConn, req.ClientSuspect = message.ClientHash, message.ClientConn, message.ClientSuspect
 	arrived := message.ArrivedAt
 	// the client has waited since it sent the request, not since the request was read
--- a/internal/server/retry_test.go
+++ b/internal/server/retry_test.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // keyedSettings are platform settings in which requests carry idempotency keys, and a request's
@@ -34,3 +36,31 @@
 		t.Errorf("the request was sent %d times", runs.Load())
 	}
 }
+
+// TestIDComesAgain guards against running a request that must not run twice a second time, when its
+// client leaves before the answer and the same request comes again on another connection.
+func TestIDComesAgain(t *testing.T) {
+	settings := strings.Replace(platformSettings, `"repeat":"free"`, `"repeat":"single_shot"`, 1)
+	var runs atomic.Int64
+	node := newFakeNode(t, func(net.Conn, string) { runs.Add(1) })
+	d := startDirectorWith(t, settings, "", node)
+	first := d.dial(t)
+	first.request("1", "o", 5*time.Second)
+	for deadline := time.Now().Add(10 * time.Second); runs.Load() == 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	}
+	first.close(t)
+	// The same request fails: while the first attempt is open, since its ID is in use, and afterwards.
+	for range 5 {
+		time.Sleep(100 * time.Millisecond)
+		again := d.dial(t)
+		again.request("1", "o", 5*time.Second)
+		if _, code, _ := again.readAnswer(t); code != "500" {
+			t.Errorf("answered %s", code)
+		}
+		again.close(t)
+	}
+	if runs.Load() != 1 {
+		t.Errorf("the request was sent %d times", runs.Load())
+	}
+	d.stopAndWait(t)
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -12,6 +12,9 @@
 	ClientHash uint64       // hash of the client's address; 0 if unknown
 	ClientConn uint64       // number of the client's connection; 0 if unknown
 
+	// ID identifies the request; empty if unknown. A request that comes again with the same ID is
+	// the same one.
+	ID string
 	// IdempotencyKey is the key of an IdempotentWithKey request. It is the same for all retries of
 	// the client, and empty if the client gave none.
 	IdempotencyKey string
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -32,7 +32,7 @@
 	if request.Deadline <= now {
 		return r.reject(now, request, state, policy.ReasonDeadline)
 	}
-	if !r.dedup.CanRecord(now, request.IdempotencyKey, request.ClientConn) {
+	if key, _ := dedupKey(request); !r.dedup.CanRecord(now, key, request.ClientConn) {
 		return r.reject(now, request, state, policy.ReasonDedupFull)
 	}
 	p := r.newPlacement(now, request, state)
@@ -196,5 +196,6 @@
 	a.lightlyLoaded = float64(a.endpoint.concurrency.inFlight) < a.endpoint.concurrency.limit/2
 	a.endpoint.concurrency.inFlight++
 	state.attempts, state.checkedAt = append(state.attempts, a), p.now
-	r.dedup.RecordAttempt(p.now, p.request.IdempotencyKey, p.request.Type.DedupWindow, a.endpoint.Zone, a.endpoint.Cell, p.request.ClientConn)
+	key, window := dedupKey(p.request)
+	r.dedup.RecordAttempt(p.now, key, window, a.endpoint.Zone, a.endpoint.Cell, p.request.ClientConn)
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -69,6 +69,16 @@
 	return state
 }
 
+// dedupKey returns the key by which the request is recognized if it comes again, and for how long that
+// matters; the key is empty if it may run again. A request that is not idempotent carries no key, but
+// keeps its ID.
+func dedupKey(request *policy.Request) (key string, window policy.Micros) {
+	if request.Type.RetrySafety == policy.NotIdempotent {
+		return request.ID, request.Type.Timeout
+	}
+	return request.IdempotencyKey, request.Type.DedupWindow
+}
+
 // attemptFromRecord returns the past attempt that a dedup record describes.
 func attemptFromRecord(record *dedup.Record) *attempt {
 	e := &endpoint{Endpoint: policy.Endpoint{Zone: record.Zone, Cell: record.Cell}}
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -237,6 +237,32 @@
 	})
 }
 
+// TestIDOfNotIdempotentRequest checks that a request that must not run twice and comes again with the
+// same ID is not sent again if it may have run, and is sent if it has not.
+func TestIDOfNotIdempotentRequest(t *testing.T) {
+	for _, c := range []struct {
+		result policy.Result
+		want   policy.Action
+	}{{policy.Cancelled, policy.Fail}, {policy.Succeeded, policy.Fail}, {policy.ConnectFailed, policy.Send}, {policy.Withdrawn, policy.Send}} {
+		s := settings()
+		s.ContentTypes[0].RetrySafety = policy.NotIdempotent
+		r := newTestRouter(s, 2, 1)
+		r.SetOptions(Options{Dedup: dedup.Settings{MaxRecords: 10, RetainWindows: 20}})
+		first := r.request("o")
+		first.ID = "00000000000000aa"
+		if decision := r.Route(r.now, first); decision.Action != policy.Send {
+			t.Fatalf("%+v", decision)
+		}
+		first.Done = true // its client has left
+		r.AttemptDone(r.now, first, policy.Outcome{Result: c.result, Final: true})
+		again := r.request("o")
+		again.ID = first.ID
+		if decision := r.Route(r.now, again); decision.Action != c.want {
+			t.Errorf("after %s: %+v", c.result, decision)
+		}
+	}
+}
+
 // TestUnprocessable checks that an error on which two endpoints agree is attributed to the client,
 // and that a suspect client's request gets only one attempt.
 func TestUnprocessable(t *testing.T) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -149,10 +149,11 @@
 // admit looks up earlier tries of a new request and asks the overload controller to admit it. If
 // the request may not be routed, admit returns the final decision and false.
 func (r *Router) admit(now policy.Micros, request *policy.Request, state *requestState) (policy.Decision, bool) {
-	key, window := request.IdempotencyKey, request.Type.DedupWindow
+	key, window := dedupKey(request)
 	switch record := r.dedup.Lookup(now, key, window); {
 	case record != nil:
 		state.mayHaveRun = attemptFromRecord(record)
+	case request.IdempotencyKey == "":
 	case !request.IsRetry:
 		r.dedup.RecordFirstTry(key, request.ClientConn)
 	case r.dedup.FailsRetry(key):
@@ -194,8 +195,8 @@
 	if outcome.Result == policy.Withdrawn {
 		state.withdraw(a)
 	}
-	if !ran && request.IdempotencyKey != "" {
-		r.dedup.AttemptNotRun(request.IdempotencyKey, a.sentAt)
+	if key, _ := dedupKey(request); !ran && key != "" {
+		r.dedup.AttemptNotRun(key, a.sentAt)
 	}
 	if outcome.Result == policy.Succeeded {
 		r.overload.Completed(now, &state.admission, now > request.ArrivedAt+a.objective)
