Dispatch: a node that comes up at an address ends the one that had it

Cause: a change of the list that names a new node said nothing of the older node of another name at the same address, which stayed in use until the list told that it was gone.

Change: an entry that is not removed ends a listed node of another name with the same address; in a complete list the later start has the address, and equal starts tell nothing.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -102,6 +102,7 @@
 // updateEndpoints applies an endpoint list, or only its changed entries if complete is false. The
 // caller holds mu.
 func (r *Router) updateEndpoints(nodes []discovery.Endpoint, complete bool, reading wallclock.Reading) {
+	nodes = r.withDisplaced(nodes, complete)
 	updated, present := make([]policy.Endpoint, len(nodes)), map[string]bool{}
 	for i, node := range nodes {
 		if r.listed[node.ID] = node; node.State == policy.Removed {
@@ -125,6 +126,42 @@
 	r.policy.UpdateEndpoints(r.Now(), updated, complete)
 }
 
+// withDisplaced returns list entries in which every endpoint whose address a later process of another
+// name has taken is removed: requests for it would reach that process. Of two entries of a complete
+// list, the process that started later has the address; of changes, it is the changed entry. The
+// caller holds mu.
+func (r *Router) withDisplaced(nodes []discovery.Endpoint, complete bool) []discovery.Endpoint {
+	nodes = slices.Clone(nodes)
+	present, holders := map[string]bool{}, map[string]int{} // by ID; index in nodes by address
+	for i := range nodes {
+		node := &nodes[i]
+		present[node.ID] = true
+		if node.State == policy.Removed {
+			continue
+		}
+		other, taken := holders[node.Address]
+		if taken && nodes[other].ID != node.ID && nodes[other].Started != node.Started {
+			if nodes[other].Started > node.Started {
+				node.State = policy.Removed
+				continue
+			}
+			nodes[other].State = policy.Removed
+		}
+		holders[node.Address] = i
+	}
+	if complete {
+		return nodes
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.listed)) {
+		node := r.listed[id]
+		if _, taken := holders[node.Address]; taken && !present[id] {
+			node.State = policy.Removed
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
 // updateEndpoint updates an endpoint's connections according to its list entry. A process that was
 // replaced or removed gets no further requests.
 func (r *Router) updateEndpoint(node discovery.Endpoint) {
