Bufpool: one way to get a buffer, within the limit

Get, which passed the limit, has had no caller since all buffers keep to it; TryGet takes the place of the getter for bodies too. TestBody asked Get for a buffer; it asks TryGet now, and also that TryGet refuses once the limit is reached.

--- a/internal/bufpool/body.go
+++ b/internal/bufpool/body.go
@@ -44,7 +44,7 @@
 	if needed < pendingBytes {
 		needed = BufferSize
 	}
-	part := b.pool.getForBody(needed)
+	part := b.pool.TryGet(needed)
 	if part == nil {
 		return false
 	}
--- a/internal/bufpool/body_test.go
+++ b/internal/bufpool/body_test.go
@@ -36,11 +36,13 @@
 			if got := bytes.Join(body.Parts(), nil); fitted == c.pieces && (!bytes.Equal(got, want) || body.Len() != len(want)) {
 				t.Error("the bytes differ")
 			}
-			buffer := pool.Get()
-			if len(buffer) != BufferSize {
-				t.Error("Get returned no buffer of BufferSize")
+			buffer := pool.TryGet(BufferSize)
+			if full := c.parts >= c.limit; (buffer == nil) != full || !full && len(buffer) != BufferSize {
+				t.Errorf("TryGet returned %d bytes", len(buffer))
+			}
+			if buffer != nil {
+				pool.Put(buffer)
 			}
-			pool.Put(buffer)
 			body.Free()
 			if inUse, _ := pool.InUse(); inUse != 0 || body.Len() != 0 {
 				t.Errorf("%d buffers are still in use", inUse)
--- a/internal/bufpool/bufpool.go
+++ b/internal/bufpool/bufpool.go
@@ -1,5 +1,5 @@
-// Package bufpool provides reusable buffers of a few sizes, with a limit on those for message
-// bodies, and a Body type that stores message bodies in them.
+// Package bufpool provides reusable buffers of a few sizes, with a limit on all that are in use, and a
+// Body type that stores message bodies in them.
 package bufpool
 
 import (
@@ -7,8 +7,7 @@
 	"sync/atomic"
 )
 
-// BufferSize is the size in bytes of the largest buffers and of those that Get returns. The largest
-// client message fits into one.
+// BufferSize is the size in bytes of the largest buffers. The largest client message fits into one.
 const BufferSize = 64 << 10
 
 const (
@@ -46,13 +45,14 @@
 // limit stay in use.
 func (p *Pool) SetLimit(limit int) { p.limit.Store(int64(limit) * unitsPerBuffer) }
 
-// Get returns a buffer of BufferSize for a connection to read into. It never fails, since the
-// number of connections is limited elsewhere, but the buffer counts as in use.
-func (p *Pool) Get() []byte { return p.take(largestClass) }
-
 // TryGet returns a buffer of the smallest size that holds the given number of bytes, or of BufferSize
 // if none does. It returns nil if the limit is reached.
-func (p *Pool) TryGet(bytes int) []byte { return p.getForBody(bytes) }
+func (p *Pool) TryGet(bytes int) []byte {
+	if p.inUse.Load() >= p.limit.Load() {
+		return nil
+	}
+	return p.take(classFor(bytes))
+}
 
 // SizeFor returns the size in bytes of the buffer that TryGet returns.
 func (p *Pool) SizeFor(bytes int) int { return sizeClasses[classFor(bytes)] }
@@ -67,15 +67,6 @@
 	return largestClass
 }
 
-// getForBody returns a buffer for a body that needs the given number of bytes, of the smallest size
-// that holds them or else of the largest size. It returns nil if the limit is reached.
-func (p *Pool) getForBody(needed int) []byte {
-	if p.inUse.Load() >= p.limit.Load() {
-		return nil
-	}
-	return p.take(classFor(needed))
-}
-
 // take returns a buffer of a size class, and reuses a free one if there is any.
 func (p *Pool) take(class int) []byte {
 	p.inUse.Add(int64(sizeClasses[class] / unitSize))
