Dedup: a connection's share counts only keys within their window

The share of a connection applied while more than half of the table was in use, and records stay for 20 windows: found by reading, a few connections that carry a whole director's requests with keys or of types that must not run twice would have reached it after a minute of ordinary traffic. Records whose window has passed are dropped now while more than half of the table is in use, so that only what is within its window counts. TestEviction and TestClientShare have a case each for it.

--- a/dedup/dedup.go
+++ b/dedup/dedup.go
@@ -24,9 +24,9 @@
 	// MaxKnownKeys is the maximum number of keys without an attempt that may have run that are
 	// known from their first tries. The oldest ones are forgotten, and their retries fail.
 	MaxKnownKeys int
-	// EvictPastWindow lets a new key take the place of the record whose last attempt is the oldest, in
-	// a full table, once that record's dedup window has passed since. Only with FailUnknownRetries is
-	// this as safe: the retries of an evicted key fail, as those of a recorded one.
+	// EvictPastWindow removes records whose dedup window has passed since their last attempt, the
+	// oldest first, while more than half of MaxRecords are in use. With FailUnknownRetries the retries
+	// of an evicted key fail, as those of a recorded one.
 	EvictPastWindow bool
 	// ClientFraction limits the records of one client's connection, while more than half of
 	// MaxRecords are in use, to one part in ClientFraction of MaxRecords; 0 for no limit.
@@ -84,8 +84,8 @@
 	if key == "" || t.settings.MaxRecords == 0 || t.records[key] != nil {
 		return true
 	}
-	hasRoom := len(t.records) < t.settings.MaxRecords || t.canEvict(now)
-	if hasRoom && !t.exceedsShare(client) {
+	t.evict(now)
+	if len(t.records) < t.settings.MaxRecords && !t.exceedsShare(client) {
 		return true
 	}
 	t.rejected++
@@ -101,10 +101,15 @@
 	return t.clients[client] >= max(1, t.settings.MaxRecords/t.settings.ClientFraction)
 }
 
-// canEvict reports whether a new key may take the place of the oldest record.
-func (t *Table) canEvict(now policy.Micros) bool {
-	oldest := t.order.Front()
-	return t.settings.EvictPastWindow && oldest != nil && now >= t.records[oldest.Value.(string)].windowEnd
+// evict removes old records while the table is in demand, as EvictPastWindow says.
+func (t *Table) evict(now policy.Micros) {
+	for t.settings.EvictPastWindow && len(t.records) > t.settings.MaxRecords/2 {
+		oldest := t.order.Front().Value.(string)
+		if now < t.records[oldest].windowEnd {
+			return
+		}
+		t.remove(oldest)
+	}
 }
 
 // remove removes a key's record.
@@ -127,9 +132,7 @@
 	t.expire(now, window)
 	record := t.records[key]
 	if record == nil {
-		if len(t.records) >= t.settings.MaxRecords && t.canEvict(now) {
-			t.remove(t.order.Front().Value.(string))
-		}
+		t.evict(now)
 		record = &Record{FirstAttemptAt: now, Zone: zone, Cell: cell, client: client, order: t.order.PushBack(key)}
 		t.clients[client]++
 		record.expiry.Value = key
--- a/dedup/dedup_test.go
+++ b/dedup/dedup_test.go
@@ -135,8 +135,8 @@
 }
 
 // TestEviction guards against a table that one client fills with ever new keys, so that all others'
-// requests with new keys are rejected: records whose dedup window has passed must make room, the
-// oldest first, and no others.
+// requests with new keys are rejected: while more than half of it is in use, records whose dedup
+// window has passed must make room, the oldest first, and no others.
 func TestEviction(t *testing.T) {
 	table := New(Settings{MaxRecords: 2, RetainWindows: 20, FailUnknownRetries: true, MaxKnownKeys: 2, EvictPastWindow: true})
 	table.RecordAttempt(0, "a", window, 0, 0, 1)
@@ -159,6 +159,9 @@
 	if records, _ := table.Counts(); records != 2 || table.order.Len() != 2 {
 		t.Errorf("%d records, %d in order", records, table.order.Len())
 	}
+	if !table.CanRecord(4*window, "d", 1) || len(table.records) != 1 || table.records["c"] == nil {
+		t.Errorf("records %v; half of the table may be past its window", table.records)
+	}
 }
 
 // TestClientShare guards against one client connection that takes the whole table: while more than
@@ -186,7 +189,12 @@
 	if table.CanRecord(0, "other4", other) {
 		t.Error("another connection exceeds its part")
 	}
-	if table.Lookup(3*window, "x", window); len(table.clients) != 0 {
+	// A connection that sends for long has many records whose window has passed. They do not count.
+	table.settings.EvictPastWindow = true
+	if !table.CanRecord(window, "later", flood) {
+		t.Error("records past their window count towards the part")
+	}
+	if table.Lookup(5*window, "x", window); len(table.clients) != 0 {
 		t.Errorf("%d clients are counted without records", len(table.clients))
 	}
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -182,9 +182,8 @@
 	}
 	if settings.FailUnknownRetries {
 		settings.MaxKnownKeys = max(1, settings.MaxRecords/recordsPerKey)
-		settings.EvictPastWindow = true
 	}
-	settings.ClientFraction = recordsClientFraction
+	settings.EvictPastWindow, settings.ClientFraction = true, recordsClientFraction
 	return settings
 }
 
